Add the design page, build rules and base libraries

Adds the libraries base, http, objects, records, store and platform with their tests, the interfaces cluster_state, call_engine, durable_requests and target_client, and an in-memory store for tests.

--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace prometheus {
+class Registry;
+}
+
+namespace jl {
+
+using metric_labels = std::map<std::string, std::string>;
+
+// The metrics of one process, in the Prometheus text format.
+//
+//   metrics.count("jl_requests_total", "Requests by outcome", {{"outcome", "answered"}});
+//   metrics.observe("jl_start_seconds", "Time until start", {{"class", "urgent"}}, 12ms);
+//
+// Label values must come from bounded sets (classes, teams, services, outcomes). Thread-safe.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void count(const std::string& name, const std::string& help, const metric_labels& labels = {},
+               double amount = 1);
+    void set(const std::string& name, const std::string& help, const metric_labels& labels,
+             double value);
+    void observe(const std::string& name, const std::string& help, const metric_labels& labels,
+                 std::chrono::nanoseconds value);
+    // All metrics in the Prometheus text exposition format.
+    std::string to_text() const;
+
+private:
+    struct families;
+    std::shared_ptr<prometheus::Registry> registry_;
+    std::unique_ptr<families> families_;
+};
+
+} // namespace jl
--- /dev/null
+++ b/src/store/etcd_codec.cpp
@@ -0,0 +1,178 @@
+#include "store/etcd_codec.h"
+
+#include <sstream>
+#include <stdexcept>
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+
+namespace jl::store::internal {
+
+namespace {
+
+using nlohmann::json;
+
+std::string bytes_field(const json& object, const char* key)
+{
+    const auto found = object.find(key);
+    if (found == object.end()) {
+        return "";
+    }
+    auto bytes = decode_base64(found->get<std::string>());
+    if (!bytes) {
+        throw std::invalid_argument(std::string(key) + " is not base64");
+    }
+    return std::move(*bytes);
+}
+
+json encode(const compare& compare)
+{
+    const bool by_create = compare.compared == compare::field::create_revision;
+    return {{"key", encode_base64(compare.key)},
+            {"result", "EQUAL"},
+            {"target", by_create ? "CREATE" : "MOD"},
+            {by_create ? "create_revision" : "mod_revision", std::to_string(compare.revision)}};
+}
+
+json encode(const operation& operation)
+{
+    json body = {{"key", encode_base64(operation.key)}};
+    if (!operation.range_end.empty()) {
+        body["range_end"] = encode_base64(operation.range_end);
+    }
+    switch (operation.type) {
+    case operation::kind::put:
+        body["value"] = encode_base64(operation.value);
+        if (operation.lease != 0) {
+            body["lease"] = std::to_string(operation.lease);
+        }
+        return {{"request_put", body}};
+    case operation::kind::remove:
+        return {{"request_delete_range", body}};
+    case operation::kind::range:
+        break;
+    }
+    return {{"request_range", body}};
+}
+
+json encode(const std::vector<operation>& operations)
+{
+    json list = json::array();
+    for (const auto& operation : operations) {
+        list.push_back(encode(operation));
+    }
+    return list;
+}
+
+} // namespace
+
+std::string encode_base64(std::string_view bytes)
+{
+    std::ostringstream output;
+    Poco::Base64Encoder encoder(output);
+    encoder.rdbuf()->setLineLength(0);
+    encoder.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    encoder.close();
+    return output.str();
+}
+
+std::optional<std::string> decode_base64(std::string_view text)
+{
+    try {
+        std::istringstream input{std::string(text)};
+        Poco::Base64Decoder decoder(input);
+        return std::string(std::istreambuf_iterator<char>(decoder), {});
+    }
+    catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+json encode(const range_request& request)
+{
+    json body = {{"key", encode_base64(request.key)}};
+    if (!request.range_end.empty()) {
+        body["range_end"] = encode_base64(request.range_end);
+    }
+    if (request.limit > 0) {
+        body["limit"] = std::to_string(request.limit);
+    }
+    return body;
+}
+
+json encode(const transaction& transaction)
+{
+    json compares = json::array();
+    for (const auto& compare : transaction.compares) {
+        compares.push_back(encode(compare));
+    }
+    return {{"compare", compares},
+            {"success", encode(transaction.on_success)},
+            {"failure", encode(transaction.on_failure)}};
+}
+
+std::int64_t decode_integer(const json& object, const char* key)
+{
+    const auto found = object.find(key);
+    if (found == object.end()) {
+        return 0; // the gateway leaves out zero values
+    }
+    return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
+}
+
+key_value decode_key_value(const json& object)
+{
+    key_value item;
+    item.key = bytes_field(object, "key");
+    item.value = bytes_field(object, "value");
+    item.create_revision = decode_integer(object, "create_revision");
+    item.mod_revision = decode_integer(object, "mod_revision");
+    item.lease = decode_integer(object, "lease");
+    return item;
+}
+
+range_result decode_range(const json& object)
+{
+    range_result result;
+    if (object.contains("header")) {
+        result.revision = decode_integer(object["header"], "revision");
+    }
+    if (object.contains("kvs")) {
+        for (const auto& item : object["kvs"]) {
+            result.items.push_back(decode_key_value(item));
+        }
+    }
+    result.more = object.value("more", false);
+    return result;
+}
+
+transaction_result decode_transaction(const json& object)
+{
+    transaction_result result;
+    result.revision = decode_integer(object.at("header"), "revision");
+    result.succeeded = object.value("succeeded", false);
+    if (object.contains("responses")) {
+        for (const auto& response : object["responses"]) {
+            if (response.contains("response_range")) {
+                result.ranges.push_back(decode_range(response["response_range"]));
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<watch_event> decode_events(const json& watch_result)
+{
+    std::vector<watch_event> events;
+    if (!watch_result.contains("events")) {
+        return events;
+    }
+    for (const auto& event : watch_result["events"]) {
+        const bool removed = event.value("type", "PUT") == "DELETE";
+        events.push_back({removed ? watch_event::kind::remove : watch_event::kind::put,
+                          decode_key_value(event.at("kv"))});
+    }
+    return events;
+}
+
+} // namespace jl::store::internal
