--- /dev/null
+++ b/src/decisions/drains.cpp
@@ -0,0 +1,352 @@
+#include "decisions/drains.h"
+
+#include <algorithm>
+
+namespace jl::decisions {
+
+namespace {
+
+using records::vm_phase;
+using std::chrono::milliseconds;
+
+constexpr const char* wave_reason = "wave ";
+constexpr const char* operator_reason = "operator ";
+constexpr const char* withdrawn_reason = "withdrawn: ";
+constexpr const char* time_limit_text = "time limit";
+
+bool starts_with(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+const objects::maintenance_wave* wave_of(const fleet_snapshot& snapshot,
+                                         const records::vm_record& record)
+{
+    if (!starts_with(record.reason, wave_reason)) {
+        return nullptr;
+    }
+    const auto name = record.reason.substr(std::string(wave_reason).size());
+    for (const auto& wave : snapshot.configuration->waves) {
+        if (wave.name == name) {
+            return &wave;
+        }
+    }
+    return nullptr;
+}
+
+// True if the operators no longer want the drain.
+bool revoked(const fleet_snapshot& snapshot, const records::vm_record& record)
+{
+    if (starts_with(record.reason, wave_reason)) {
+        const auto* wave = wave_of(snapshot, record);
+        if (wave == nullptr) {
+            return true;
+        }
+        const auto state = snapshot.waves.find(wave->name);
+        return state != snapshot.waves.end() && state->second == records::wave_state::cancelled;
+    }
+    if (starts_with(record.reason, operator_reason)) {
+        return snapshot.operator_drains.count(record.vm) == 0;
+    }
+    return !record.move_to_pool.empty() &&
+           snapshot.configuration->find_pool(record.move_to_pool) == nullptr;
+}
+
+// What the entries say about one VM in drain.
+struct drain_evidence {
+    bool acknowledged = false; // by every entry that may still send
+    bool idle = false;
+    std::string missing; // an entry that has not acknowledged
+};
+
+drain_evidence evidence_for(const fleet_snapshot& snapshot, const fleet_vm& vm)
+{
+    drain_evidence evidence;
+    evidence.idle = true;
+    evidence.acknowledged = !snapshot.entries.empty();
+    for (const auto& entry : snapshot.entries) {
+        if (entry.provably_silent) {
+            continue;
+        }
+        const auto report = entry.reports.find(vm.record.vm);
+        // A report for an earlier revision may predate requests sent in between.
+        if (!entry.live || report == entry.reports.end() ||
+            report->second.record_revision != vm.record_revision) {
+            evidence.acknowledged = false;
+            evidence.missing = entry.member;
+            continue;
+        }
+        evidence.idle = evidence.idle && report->second.in_flight == 0;
+    }
+    return evidence;
+}
+
+class drain_planner {
+public:
+    drain_planner(const fleet_snapshot& snapshot, const planning_limits& limits,
+                  const budget_ledger& ledger, fleet_plan& plan)
+        : snapshot_(snapshot), limits_(limits), withdrawals_(ledger), plan_(plan)
+    {
+    }
+
+    void plan_vm(std::size_t index)
+    {
+        const auto& vm = snapshot_.vms[index];
+        if (!vm.listed && vm.missing_for >= limits_.forget && snapshot_.platform_current) {
+            advance(vm, step_kind::forget, vm.record.phase);
+            return;
+        }
+        switch (vm.record.phase) {
+        case vm_phase::in_service:
+            break;
+        case vm_phase::preparing:
+        case vm_phase::leaving:
+            plan_drain(index);
+            break;
+        case vm_phase::rebooting:
+            plan_reboot(vm);
+            break;
+        case vm_phase::returning:
+            plan_return(vm);
+            break;
+        }
+    }
+
+private:
+    void plan_drain(std::size_t index)
+    {
+        const auto& vm = snapshot_.vms[index];
+        const auto age = snapshot_.now - vm.record.phase_since;
+        const auto* wave = wave_of(snapshot_, vm.record);
+        const milliseconds limit =
+            wave == nullptr ? limits_.drain : milliseconds(wave->drain_limit);
+        const auto budget = withdrawals_.exceeded_budget(index);
+        if (!budget.empty()) {
+            withdraw(index, "budget " + budget + " is exceeded");
+            return;
+        }
+        if (revoked(snapshot_, vm.record)) {
+            withdraw(index, "cancelled by an operator");
+            return;
+        }
+        const auto evidence = evidence_for(snapshot_, vm);
+        if (!evidence.acknowledged && age >= limits_.acknowledgment) {
+            withdraw(index, "no acknowledgment from " +
+                                (evidence.missing.empty() ? "any entry" : evidence.missing));
+            return;
+        }
+        if (age >= limit) {
+            plan_.problems.push_back({vm.record.vm, "drain_stuck",
+                                      "the drain took longer than its limit and was withdrawn"});
+            withdraw(index, time_limit_text);
+            return;
+        }
+        if (!evidence.acknowledged) {
+            return;
+        }
+        if (vm.record.phase == vm_phase::preparing) {
+            advance(vm, step_kind::leave, vm_phase::leaving);
+            return;
+        }
+        if (!evidence.idle || vm.tasks > 0 || !snapshot_.platform_current || !vm.listed) {
+            return;
+        }
+        if (!vm.record.move_to_pool.empty()) {
+            advance(vm, step_kind::change_pool, vm_phase::returning);
+            plan_.steps.back().next.pool = vm.record.move_to_pool;
+            return;
+        }
+        advance(vm, step_kind::reboot, vm_phase::rebooting);
+        plan_.steps.back().next.boot_id = vm.boot_id;
+    }
+
+    void plan_reboot(const fleet_vm& vm)
+    {
+        if (vm.live() && snapshot_.platform_current && vm.boot_id != vm.record.boot_id) {
+            advance(vm, step_kind::booted, vm_phase::returning);
+            return;
+        }
+        report_missing_return(vm);
+    }
+
+    void plan_return(const fleet_vm& vm)
+    {
+        if (!vm.live() || !snapshot_.platform_current) {
+            report_missing_return(vm);
+            return;
+        }
+        advance(vm, step_kind::finish, vm_phase::in_service);
+        auto& step = plan_.steps.back();
+        if (vm.record.move_to_pool.empty()) {
+            step.next.maintained_at = snapshot_.now;
+            step.ends_operator_drain = snapshot_.operator_drains.count(vm.record.vm) > 0;
+        }
+        step.next.reason.clear();
+        step.next.move_to_pool.clear();
+    }
+
+    void report_missing_return(const fleet_vm& vm)
+    {
+        if (snapshot_.now - vm.record.phase_since >= limits_.return_time) {
+            plan_.problems.push_back({vm.record.vm, "vm_not_returned",
+                                      std::string("the VM has been ") + to_text(vm.record.phase) +
+                                          " for longer than the limit"});
+        }
+    }
+
+    void advance(const fleet_vm& vm, step_kind kind, vm_phase phase)
+    {
+        vm_step step;
+        step.kind = kind;
+        step.expected_revision = vm.record_revision;
+        step.next = vm.record;
+        step.next.phase = phase;
+        step.next.phase_since = snapshot_.now;
+        step.next.data_centre = vm.data_centre;
+        step.next.rack = vm.rack;
+        plan_.steps.push_back(std::move(step));
+    }
+
+    void withdraw(std::size_t index, const std::string& cause)
+    {
+        const auto& vm = snapshot_.vms[index];
+        advance(vm, step_kind::withdraw, vm_phase::in_service);
+        auto& next = plan_.steps.back().next;
+        next.reason = std::string(withdrawn_reason).append(cause);
+        next.move_to_pool.clear();
+        withdrawals_.withdraw(index);
+    }
+
+    const fleet_snapshot& snapshot_;
+    const planning_limits& limits_;
+    budget_ledger withdrawals_; // a copy: withdrawn VMs stay unavailable until the write
+    fleet_plan& plan_;
+};
+
+} // namespace
+
+const char* to_text(step_kind kind)
+{
+    switch (kind) {
+    case step_kind::create:
+        return "create";
+    case step_kind::start:
+        return "start";
+    case step_kind::leave:
+        return "leave";
+    case step_kind::reboot:
+        return "reboot";
+    case step_kind::change_pool:
+        return "change_pool";
+    case step_kind::booted:
+        return "booted";
+    case step_kind::finish:
+        return "finish";
+    case step_kind::withdraw:
+        return "withdraw";
+    case step_kind::forget:
+        return "forget";
+    }
+    return "";
+}
+
+start_permission may_start_drains(const fleet_snapshot& snapshot)
+{
+    if (!snapshot.platform_current) {
+        return {false, "the VM list or the workers' reports could not be read"};
+    }
+    std::size_t live = 0;
+    std::string missing;
+    for (const auto& entry : snapshot.entries) {
+        live += entry.live ? 1 : 0;
+        if (!entry.live && !entry.provably_silent) {
+            missing = entry.member;
+        }
+    }
+    if (live * 2 <= snapshot.entries.size()) {
+        return {false, "not more than half of the entries are live"};
+    }
+    // Such a drain would be withdrawn for its missing acknowledgment after the VM had been taken
+    // out of service for nothing.
+    if (!missing.empty()) {
+        return {false, "entry " + missing + " does not report and may still send work"};
+    }
+    return {true, ""};
+}
+
+void advance_drains(const fleet_snapshot& snapshot, const planning_limits& limits,
+                    const budget_ledger& ledger, fleet_plan& plan)
+{
+    drain_planner planner(snapshot, limits, ledger, plan);
+    for (std::size_t index = 0; index < snapshot.vms.size(); ++index) {
+        planner.plan_vm(index);
+    }
+}
+
+vm_step start_drain(const fleet_snapshot& snapshot, const fleet_vm& vm, const std::string& reason,
+                    const std::string& move_to_pool)
+{
+    vm_step step;
+    step.kind = step_kind::start;
+    step.expected_revision = vm.record_revision;
+    step.next = vm.record;
+    step.next.phase = vm_phase::preparing;
+    step.next.phase_since = snapshot.now;
+    step.next.operation_id = vm.record.vm + "-" + std::to_string(vm.record_revision) + "-" +
+                             std::to_string(snapshot.fencing_token);
+    step.next.reason = reason;
+    step.next.move_to_pool = move_to_pool;
+    step.next.data_centre = vm.data_centre;
+    step.next.rack = vm.rack;
+    return step;
+}
+
+bool recently_withdrawn(const fleet_snapshot& snapshot, const planning_limits& limits,
+                        const fleet_vm& vm)
+{
+    if (!starts_with(vm.record.reason, withdrawn_reason)) {
+        return false;
+    }
+    const bool by_limit =
+        starts_with(vm.record.reason.substr(std::string(withdrawn_reason).size()), time_limit_text);
+    return snapshot.now - vm.record.phase_since <
+           (by_limit ? limits.retry_after_limit : limits.retry);
+}
+
+std::vector<vm_command> commands_for(const fleet_snapshot& snapshot)
+{
+    // A drain command of a paused predecessor may arrive after the cancellation was executed, so
+    // the cancellation gets a new id every ten seconds while the VM is still listed as leaving.
+    const auto period = std::to_string(snapshot.now / std::chrono::seconds(10));
+    std::vector<vm_command> commands;
+    for (const auto& vm : snapshot.vms) {
+        const auto& operation = vm.record.operation_id;
+        if (operation.empty() || !vm.listed) {
+            continue;
+        }
+        switch (vm.record.phase) {
+        case vm_phase::preparing:
+            break;
+        case vm_phase::leaving:
+            if (!vm.listed_leaving) {
+                commands.push_back({command_kind::drain, vm.record.vm, operation + "-drain"});
+            }
+            break;
+        case vm_phase::rebooting:
+            if (vm.boot_id == vm.record.boot_id) {
+                commands.push_back({command_kind::reboot, vm.record.vm, operation + "-reboot"});
+            }
+            break;
+        case vm_phase::returning:
+        case vm_phase::in_service:
+            if (vm.listed_leaving) {
+                commands.push_back(
+                    {command_kind::cancel_drain, vm.record.vm, operation + "-cancel-" + period});
+            }
+            break;
+        }
+    }
+    return commands;
+}
+
+} // namespace jl::decisions
--- /dev/null
+++ b/src/fleet/planner.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "base/time.h"
+#include "cluster/cluster_state.h"
+#include "decisions/waves.h"
+#include "fleet/member_tracker.h"
+#include "fleet/record_feed.h"
+#include "platform/platform.h"
+#include "store/role.h"
+
+namespace jl::fleet {
+
+inline constexpr const char* planner_role = "planner";
+
+struct planner_options {
+    decisions::planning_limits limits;
+    std::chrono::milliseconds store_timeout{1000};
+    std::chrono::milliseconds platform_timeout{1000};
+    // Time that one round may spend on sending commands; the rest is sent in the next round.
+    std::chrono::milliseconds command_time{1500};
+    // Standby planners look for a free role this often.
+    std::chrono::milliseconds standby_period{2000};
+    // All records are read again this often, as a backup for a watch that stays silent.
+    std::chrono::milliseconds reload_period{30000};
+};
+
+enum class round_outcome {
+    standby,     // another planner holds the role, or no lease
+    no_input,    // the configuration, the records or the platform could not be read
+    lost_writes, // a write failed or its outcome is unknown; the records are read again first
+    done,
+};
+
+const char* to_text(round_outcome outcome);
+
+struct round_report {
+    round_outcome outcome = round_outcome::standby;
+    int steps = 0;
+    int commands = 0;
+    std::vector<decisions::fleet_problem> problems;
+    std::vector<decisions::wave_progress> waves;
+};
+
+// The planner engine: gathers a snapshot, calls the decision functions, commits their steps under
+// the role `planner` and sends the commands that follow.
+//
+//   planner engine(store, lease, platform, observer, system_clock_source(), metrics, {});
+//   periodic_task rounds(1s, 0ms, [&] { engine.run_round(); });
+//
+// The lease is renewed by the caller on another thread. All references must outlive the planner.
+// Not thread-safe: rounds run one after the other.
+class planner {
+public:
+    planner(store::key_value_store& store, store::process_lease& lease,
+            const platform::platform_api& platform, const cluster::cluster_observer& observer,
+            const clock_source& clock, metrics& metrics, planner_options options);
+
+    round_report run_round();
+
+private:
+    struct stored_vm {
+        records::vm_record record;
+        std::int64_t revision = 0;
+    };
+
+    std::optional<std::int64_t> hold_role();
+    bool load_records(std::int64_t token);
+    void apply_events();
+    void apply_event(const store::watch_event& event);
+    void apply_vm(const std::string& vm, const store::watch_event& event);
+    bool read_platform();
+    decisions::fleet_snapshot build_snapshot(objects::object_set_ptr configuration,
+                                             std::int64_t token, bool platform_current);
+    void add_vm(decisions::fleet_snapshot& snapshot, const std::string& vm,
+                const platform::listed_vm* listed,
+                const std::map<std::string, const cluster::vm_state*>& seen);
+    void create_records(const decisions::fleet_snapshot& snapshot, decisions::fleet_plan& plan);
+    bool commit_steps(const std::vector<decisions::vm_step>& steps, std::int64_t token);
+    bool commit_batch(const std::vector<decisions::vm_step>& steps, std::size_t first,
+                      std::size_t last, std::int64_t token);
+    int send_commands(decisions::fleet_snapshot& snapshot);
+    bool send(const decisions::vm_command& command);
+    void publish(const round_report& report);
+
+    store::key_value_store& store_;
+    store::process_lease& lease_;
+    const platform::platform_api& platform_;
+    const cluster::cluster_observer& observer_;
+    const clock_source& clock_;
+    metrics& metrics_;
+    const planner_options options_;
+
+    member_tracker tracker_;
+    record_feed records_;
+    record_feed operator_drains_feed_;
+    record_feed members_feed_;
+
+    // Fencing token under which a write has an unknown outcome. The write may still take effect
+    // until the role has been given up and its token has become invalid.
+    std::int64_t tainted_token_ = 0;
+    std::int64_t loaded_token_ = 0; // 0: the records must be read before the next decision
+    steady_time loaded_at_;
+    steady_time tried_at_;
+
+    std::map<std::string, stored_vm> vms_;
+    std::map<std::string, records::wave_record> waves_;
+    std::map<std::string, records::operator_drain_record> operator_drains_;
+    std::map<std::string, std::int64_t> leased_members_;
+
+    std::vector<platform::listed_vm> listed_;
+    std::map<std::string, int> tasks_on_vm_;
+    std::map<std::string, steady_time> last_listed_;
+    std::map<std::string, steady_time> command_sent_;
+    std::map<std::string, std::string> reported_; // problems already logged, by subject and kind
+};
+
+} // namespace jl::fleet
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -139,8 +139,11 @@
                 {"operation_id", record.operation_id},
                 {"reason", record.reason},
                 {"move_to_pool", record.move_to_pool},
+                {"data_centre", record.data_centre},
+                {"rack", record.rack},
                 {"phase_since_ms", record.phase_since.count()},
                 {"maintained_at_ms", record.maintained_at.count()},
+                {"boot_id", record.boot_id},
                 {"write_id", record.write_id}}
         .dump();
 }
@@ -188,8 +191,11 @@
         record.operation_id = value.at("operation_id").get<std::string>();
         record.reason = value.at("reason").get<std::string>();
         record.move_to_pool = value.at("move_to_pool").get<std::string>();
+        record.data_centre = value.value("data_centre", "");
+        record.rack = value.value("rack", "");
         record.phase_since = time_field(value, "phase_since_ms");
         record.maintained_at = time_field(value, "maintained_at_ms");
+        record.boot_id = value.value("boot_id", std::int64_t{0});
         record.write_id = value.at("write_id").get<std::string>();
         return record;
     });
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -38,11 +38,14 @@
     std::string vm;
     std::string pool;
     vm_phase phase = vm_phase::in_service;
-    std::string operation_id;                  // of the current drain, reboot or move
-    std::string reason;                        // "wave <name>", "move <pool>" or "operator <name>"
-    std::string move_to_pool;                  // set while a move is in progress
+    std::string operation_id; // of the current drain, reboot or move
+    std::string reason;       // "wave <name>", "move <pool>" or "operator <name>"
+    std::string move_to_pool; // set while a move is in progress
+    std::string data_centre;  // kept for VMs that are missing from the VM list
+    std::string rack;
     std::chrono::milliseconds phase_since{};   // since the Unix epoch
     std::chrono::milliseconds maintained_at{}; // end of the last maintenance
+    std::int64_t boot_id = 0;                  // of the VM when its reboot was granted
     std::string write_id;
 };
 
