--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -161,6 +161,7 @@
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
 
+    void abort() { server_.stopAll(true); }
     std::uint16_t port() const { return socket_.address().port(); }
     int current_connections() const { return server_.currentConnections(); }
 
@@ -179,6 +180,11 @@
 
 server::~server() = default;
 
+void server::abort()
+{
+    implementation_->abort();
+}
+
 std::uint16_t server::port() const
 {
     return implementation_->port();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,6 +40,9 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    // Closes the listening socket and all connections at once, also those with a request in
+    // progress, whose handlers still run to their end.
+    void abort();
     // The port in use, also when port 0 was asked for.
     std::uint16_t port() const;
     int current_connections() const;
