--- a/src/targets/http_target_client.cpp
+++ b/src/targets/http_target_client.cpp
@@ -51,7 +51,7 @@
         message.body = request.body;
         auto answer = find_client(target)->exchange(message, deadline);
         if (!answer) {
-            thread_error() = convert(http::client::last_error());
+            set_last_error(convert(http::client::last_error()));
             return std::nullopt;
         }
         return target_answer{answer->status,
@@ -95,6 +95,11 @@
     return thread_error();
 }
 
+void set_last_error(target_error error)
+{
+    thread_error() = std::move(error);
+}
+
 std::unique_ptr<target_client> make_http_target_client(std::size_t max_connections)
 {
     return std::make_unique<http_target_client>(max_connections);
--- a/src/targets/target_client.h
+++ b/src/targets/target_client.h
@@ -25,6 +25,9 @@
 // Reason of the last failed exchange of this thread.
 const target_error& last_error();
 
+// Stores the reason that last_error() returns; for implementations of target_client.
+void set_last_error(target_error error);
+
 struct target_request {
     std::string service;
     std::string id;
