--- a/src/objects/objects.h
+++ b/src/objects/objects.h
@@ -83,6 +83,8 @@
     std::vector<budget> budgets;
     std::vector<maintenance_wave> waves;
     jl::objects::policy policy;
+    // Team that may change an object, by "kind name"; empty: administrators only.
+    std::map<std::string, std::string> owners;
 
     const pool* find_pool(std::string_view name) const;
     const service* find_service(std::string_view name) const;
--- a/src/objects/parse.cpp
+++ b/src/objects/parse.cpp
@@ -1,8 +1,10 @@
-#include <functional>
+#include <algorithm>
+#include <map>
 #include <set>
 
 #include <nlohmann/json.hpp>
 
+#include "objects/fields.h"
 #include "objects/objects.h"
 
 namespace jl::objects {
@@ -11,143 +13,167 @@
 
 using nlohmann::json;
 
-// Reads the fields of one object, recording faults and the keys that were read, so that unknown
-// keys can be reported afterwards.
-class field_reader {
-public:
-    field_reader(const json& value, std::string label, std::vector<object_error>& errors)
-        : value_(value), label_(std::move(label)), errors_(errors)
-    {
-        known_ = {"kind", "name"};
+bool has_type(const json& value, field_type type)
+{
+    switch (type) {
+    case field_type::text:
+        return value.is_string();
+    case field_type::integer:
+        return value.is_number_integer();
+    case field_type::number:
+        return value.is_number();
+    case field_type::boolean:
+        return value.is_boolean();
+    case field_type::text_list:
+        return value.is_array() && std::all_of(value.begin(), value.end(),
+                                               [](const json& item) { return item.is_string(); });
+    case field_type::integer_map:
+        return value.is_object() && std::all_of(value.begin(), value.end(), [](const json& item) {
+                   return item.is_number_integer();
+               });
     }
+    return false;
+}
 
-    template <typename Value>
-    bool read(const char* key, Value& target, bool required = false)
-    {
-        known_.insert(key);
-        const auto found = value_.find(key);
-        if (found == value_.end()) {
-            if (required) {
-                fault(key, "missing");
-            }
-            return false;
-        }
-        try {
-            target = found->template get<Value>();
-            return true;
-        }
-        catch (const json::exception&) {
-            fault(key, std::string("has the wrong type (found ") + found->type_name() + ")");
-            return false;
-        }
+const char* expected_text(field_type type)
+{
+    switch (type) {
+    case field_type::text:
+        return "a string";
+    case field_type::integer:
+        return "an integer";
+    case field_type::number:
+        return "a number";
+    case field_type::boolean:
+        return "true or false";
+    case field_type::text_list:
+        return "a list of strings";
+    case field_type::integer_map:
+        return "an object of integers";
     }
+    return "another type";
+}
+
+bool in_bounds(const json& number, const field_spec& spec)
+{
+    // Unsigned integers above the signed range would wrap in get<std::int64_t>().
+    const auto value = number.get<double>();
+    return (!spec.minimum || value >= static_cast<double>(*spec.minimum)) &&
+           (!spec.maximum || value <= static_cast<double>(*spec.maximum));
+}
 
-    void read_integer(const char* key, int& target, int minimum, int maximum, bool required = false)
-    {
-        json number;
-        if (!read(key, number, required)) {
-            return;
+// Checks a value against its row of the field table; returns the fault or an empty text.
+std::string check_value(const json& value, const field_spec& spec)
+{
+    if (value.is_null() && spec.default_value == "null") {
+        return "";
+    }
+    if (!has_type(value, spec.type)) {
+        return std::string("expected ") + expected_text(spec.type) + ", found " + value.dump();
+    }
+    if (!spec.choices.empty() && std::find(spec.choices.begin(), spec.choices.end(),
+                                           value.get<std::string>()) == spec.choices.end()) {
+        std::string expected;
+        for (const auto& choice : spec.choices) {
+            expected += (expected.empty() ? "" : ", ") + choice;
         }
-        if (!number.is_number_integer() || number.get<std::int64_t>() < minimum ||
-            number.get<std::int64_t>() > maximum) {
-            fault(key, "expected an integer in " + std::to_string(minimum) + ".." +
-                           std::to_string(maximum) + ", found " + number.dump());
-            return;
+        return "expected one of " + expected + ", found " + value.dump();
+    }
+    const auto check_number = [&](const json& number, const std::string& where) {
+        if (in_bounds(number, spec)) {
+            return std::string();
         }
-        target = number.get<int>();
+        return where + "expected a value in " + std::to_string(spec.minimum.value_or(0)) + ".." +
+               std::to_string(spec.maximum.value_or(0)) + ", found " + number.dump();
+    };
+    if (value.is_number()) {
+        return check_number(value, "");
     }
-
-    void read_optional_integer(const char* key, std::optional<int>& target, int minimum,
-                               int maximum)
-    {
-        known_.insert(key);
-        if (value_.contains(key)) {
-            int number = 0;
-            read_integer(key, number, minimum, maximum);
-            target = number;
+    if (spec.type == field_type::integer_map) {
+        for (const auto& [key, item] : value.items()) {
+            if (auto fault = check_number(item, key + ": "); !fault.empty()) {
+                return fault;
+            }
         }
     }
+    return "";
+}
 
-    template <typename Duration>
-    void read_duration(const char* key, Duration& target, int minimum, int maximum)
-    {
-        int number = static_cast<int>(target.count());
-        read_integer(key, number, minimum, maximum);
-        target = Duration(number);
+// Checks every field of an object and completes it with the defaults.
+std::optional<json> check_fields(const json& value, const std::string& kind,
+                                 const std::string& label, std::vector<object_error>& errors)
+{
+    const auto errors_before = errors.size();
+    json complete = json::object();
+    std::set<std::string> known;
+    for (const auto& spec : fields_of(kind)) {
+        known.insert(spec.key);
+        const auto found = value.find(spec.key);
+        if (found == value.end()) {
+            if (spec.default_value.empty()) {
+                errors.push_back({label, spec.key, "missing"});
+            }
+            else {
+                complete[spec.key] = json::parse(spec.default_value);
+            }
+            continue;
+        }
+        if (auto fault = check_value(*found, spec); !fault.empty()) {
+            errors.push_back({label, spec.key, std::move(fault)});
+        }
+        complete[spec.key] = *found;
     }
-
-    void read_weight(const char* key, double& target)
-    {
-        if (read(key, target) && !(target >= 0 && target <= 1000)) {
-            fault(key, "expected a number in 0..1000");
+    for (const auto& item : value.items()) {
+        if (known.count(item.key()) == 0) {
+            errors.push_back({label, item.key(), "unknown field"});
         }
     }
-
-    void fault(const std::string& field, std::string reason)
-    {
-        errors_.push_back({label_, field, std::move(reason)});
+    if (errors.size() != errors_before) {
+        return std::nullopt;
     }
+    return complete;
+}
 
-    void report_unknown_keys()
-    {
-        for (const auto& [key, item] : value_.items()) {
-            if (known_.count(key) == 0) {
-                fault(key, "unknown field");
-            }
-        }
+std::optional<int> optional_integer(const json& value)
+{
+    if (value.is_null()) {
+        return std::nullopt;
     }
+    return value.get<int>();
+}
 
-private:
-    const json& value_;
-    const std::string label_;
-    std::vector<object_error>& errors_;
-    std::set<std::string> known_;
-};
-
-constexpr int max_vms_per_pool = 2000;
-constexpr int max_timeout_ms = 3600000;
-
-void read_data_centre(field_reader& reader, const std::string& name, object_set& set)
+void read_data_centre(const json& value, const std::string& name, object_set& set)
 {
-    data_centre item{name, ""};
-    reader.read("region", item.region, true);
-    set.data_centres.push_back(std::move(item));
+    set.data_centres.push_back({name, value["region"].get<std::string>()});
 }
 
-void read_pool(field_reader& reader, const std::string& name, object_set& set)
+void read_pool(const json& value, const std::string& name, object_set& set)
 {
-    pool item;
-    item.name = name;
-    reader.read("spare", item.spare);
-    reader.read_integer("min_vms", item.min_vms, 0, max_vms_per_pool, true);
-    reader.read_integer("max_vms", item.max_vms, 1, max_vms_per_pool, true);
-    set.pools.push_back(std::move(item));
+    set.pools.push_back({name, value["spare"].get<bool>(), value["min_vms"].get<int>(),
+                         value["max_vms"].get<int>()});
 }
 
-void read_service(field_reader& reader, const std::string& name, object_set& set)
+void read_service(const json& value, const std::string& name, object_set& set)
 {
     service item;
     item.name = name;
-    reader.read("pool", item.pool, true);
-    reader.read_integer("slots_per_instance", item.slots_per_instance, 1, 1024);
-    reader.read_integer("connections_per_instance", item.connections_per_instance, 1, 65536);
-    reader.read_duration("default_timeout_ms", item.default_timeout, 1, max_timeout_ms);
-    reader.read_duration("max_timeout_ms", item.max_timeout, 1, max_timeout_ms);
-    reader.read_integer("max_backlog", item.max_backlog, 0, 10000000);
-    reader.read_integer("max_waiting", item.max_waiting, 0, 1000000);
+    item.pool = value["pool"].get<std::string>();
+    item.slots_per_instance = value["slots_per_instance"].get<int>();
+    item.connections_per_instance = value["connections_per_instance"].get<int>();
+    item.default_timeout = std::chrono::milliseconds(value["default_timeout_ms"].get<int>());
+    item.max_timeout = std::chrono::milliseconds(value["max_timeout_ms"].get<int>());
+    item.max_backlog = value["max_backlog"].get<int>();
+    item.max_waiting = value["max_waiting"].get<int>();
     set.services.push_back(std::move(item));
 }
 
-void read_team(field_reader& reader, const std::string& name, object_set& set)
+void read_team(const json& value, const std::string& name, object_set& set)
 {
-    team item;
-    item.name = name;
-    reader.read_weight("weight", item.weight);
-    reader.read("quotas", item.quotas);
-    set.teams.push_back(std::move(item));
+    set.teams.push_back(
+        {name, value["weight"].get<double>(), value["quotas"].get<std::map<std::string, int>>()});
 }
 
-void read_budget(field_reader& reader, const std::string& name, object_set& set)
+void read_budget(const json& value, const std::string& name, object_set& set)
 {
     static const std::map<std::string, budget_scope> scopes = {
         {"service", budget_scope::service},
@@ -156,46 +182,33 @@
         {"data_centre", budget_scope::data_centre}};
     budget item;
     item.name = name;
-    std::string scope;
-    if (reader.read("scope", scope, true)) {
-        const auto found = scopes.find(scope);
-        if (found == scopes.end()) {
-            reader.fault("scope",
-                         "expected service, pool, rack or data_centre, found \"" + scope + "\"");
-        }
-        else {
-            item.scope = found->second;
-        }
-    }
-    reader.read("scope_name", item.scope_name, true);
-    reader.read_optional_integer("min_available", item.min_available, 0, max_vms_per_pool);
-    reader.read_optional_integer("max_unavailable", item.max_unavailable, 0, max_vms_per_pool);
-    reader.read_optional_integer("max_unavailable_percent", item.max_unavailable_percent, 0, 100);
+    item.scope = scopes.at(value["scope"].get<std::string>());
+    item.scope_name = value["scope_name"].get<std::string>();
+    item.min_available = optional_integer(value["min_available"]);
+    item.max_unavailable = optional_integer(value["max_unavailable"]);
+    item.max_unavailable_percent = optional_integer(value["max_unavailable_percent"]);
     set.budgets.push_back(std::move(item));
 }
 
-void read_wave(field_reader& reader, const std::string& name, object_set& set)
+void read_wave(const json& value, const std::string& name, object_set& set)
 {
     maintenance_wave item;
     item.name = name;
-    reader.read("pools", item.pools, true);
-    reader.read_duration("period_hours", item.period, 1, 24 * 366);
-    reader.read_duration("drain_limit_s", item.drain_limit, 1, 86400);
-    std::int64_t starts_at_s = 0;
-    reader.read("starts_at_unix_s", starts_at_s);
-    item.starts_at = std::chrono::system_clock::time_point(std::chrono::seconds(starts_at_s));
+    item.pools = value["pools"].get<std::vector<std::string>>();
+    item.period = std::chrono::hours(value["period_hours"].get<int>());
+    item.starts_at = std::chrono::system_clock::time_point(
+        std::chrono::seconds(value["starts_at_unix_s"].get<std::int64_t>()));
+    item.drain_limit = std::chrono::seconds(value["drain_limit_s"].get<int>());
     set.waves.push_back(std::move(item));
 }
 
-void read_policy(field_reader& reader, const std::string& /*name*/, object_set& set)
+void read_policy(const json& value, const std::string& /*name*/, object_set& set)
 {
-    reader.read_weight("buffer_cost", set.policy.buffer_cost);
-    reader.read_weight("moves", set.policy.moves);
-    reader.read_weight("rollout_time", set.policy.rollout_time);
-    reader.read_weight("flood_service", set.policy.flood_service);
+    set.policy = {value["buffer_cost"].get<double>(), value["moves"].get<double>(),
+                  value["rollout_time"].get<double>(), value["flood_service"].get<double>()};
 }
 
-using object_function = void (*)(field_reader&, const std::string&, object_set&);
+using object_function = void (*)(const json&, const std::string&, object_set&);
 
 const std::map<std::string, object_function> readers = {{"data_centre", read_data_centre},
                                                         {"pool", read_pool},
@@ -219,23 +232,45 @@
         errors.push_back({position, "kind", "missing or not a string"});
         return;
     }
-    if (name == value.end() || !name->is_string() || name->get<std::string>().empty()) {
-        errors.push_back({position, "name", "missing or not a non-empty string"});
+    if (name == value.end() || !name->is_string()) {
+        errors.push_back({position, "name", "missing or not a string"});
         return;
     }
-    const std::string label = kind->get<std::string>() + " " + name->get<std::string>();
-    const auto reader_function = readers.find(kind->get<std::string>());
-    if (reader_function == readers.end()) {
+    const auto kind_name = kind->get<std::string>();
+    const auto object_name = name->get<std::string>();
+    const std::string label = kind_name + " " + object_name;
+    const auto reader = readers.find(kind_name);
+    if (reader == readers.end()) {
         errors.push_back({label, "kind", "unknown kind"});
         return;
     }
+    if (!valid_name(object_name)) {
+        errors.push_back({label, "name",
+                          "expected 1 to 63 letters, digits, '.', '_' and '-', starting with a "
+                          "letter or digit"});
+        return;
+    }
     if (!labels.insert(label).second) {
         errors.push_back({label, "name", "defined twice"});
         return;
     }
-    field_reader reader(value, label, errors);
-    reader_function->second(reader, name->get<std::string>(), set);
-    reader.report_unknown_keys();
+    if (const auto complete = check_fields(value, kind_name, label, errors)) {
+        reader->second(*complete, object_name, set);
+        set.owners[label] = (*complete)["owner"].get<std::string>();
+    }
+}
+
+void check_single_policy(const std::set<std::string>& labels, std::vector<object_error>& errors)
+{
+    const std::string prefix = "policy ";
+    const auto first = labels.lower_bound(prefix);
+    if (first == labels.end() || first->compare(0, prefix.size(), prefix) != 0) {
+        return;
+    }
+    const auto second = std::next(first);
+    if (second != labels.end() && second->compare(0, prefix.size(), prefix) == 0) {
+        errors.push_back({*second, "", "a set has one policy; the other one is " + *first});
+    }
 }
 
 } // namespace
@@ -268,6 +303,7 @@
             errors.push_back({"document", key, "unknown field"});
         }
     }
+    check_single_policy(labels, errors);
     if (errors.size() == errors_before) {
         check_objects(set, errors);
     }
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -20,6 +20,8 @@
 inline constexpr const char* requests_prefix = "/jl/requests/";
 inline constexpr const char* deferred_prefix = "/jl/deferred/";
 inline constexpr const char* tasks_prefix = "/jl/tasks/";
+inline constexpr const char* operator_drains_prefix = "/jl/operator_drains/";
+inline constexpr const char* operator_actions_prefix = "/jl/operator_actions/";
 
 // Key of a published generation, zero-padded so that keys sort by generation.
 std::string configuration_history_key(std::int64_t generation);
@@ -67,6 +69,46 @@
     std::string write_id;
 };
 
+enum class wave_state { running, paused, cancelled };
+
+// An operator's decision about a maintenance wave. A wave without a record is running.
+struct wave_record {
+    std::string wave;
+    wave_state state = wave_state::running;
+    std::string changed_by;
+    std::chrono::milliseconds changed_at{}; // since the Unix epoch
+    std::string write_id;
+};
+
+// An operator's request to drain and reboot a VM, removed by the operator to withdraw it.
+struct operator_drain_record {
+    std::string vm;
+    std::string requested_by;
+    std::chrono::milliseconds requested_at{}; // since the Unix epoch
+    std::string write_id;
+};
+
+// What an operator did besides publishing configurations. Never changed.
+struct operator_action_record {
+    std::string operator_name;
+    std::string action;             // "pause", "drain", ...
+    std::string subject;            // "wave monthly", "vm vm-1"
+    std::chrono::milliseconds at{}; // since the Unix epoch
+    std::string write_id;
+};
+
+// Key of an action, zero-padded so that keys sort by time.
+std::string operator_action_key(const operator_action_record& record);
+
+const char* to_text(wave_state state);
+std::optional<wave_state> parse_wave_state(std::string_view text);
+std::string to_json(const wave_record& record);
+std::string to_json(const operator_drain_record& record);
+std::string to_json(const operator_action_record& record);
+std::optional<wave_record> parse_wave(std::string_view json);
+std::optional<operator_drain_record> parse_operator_drain(std::string_view json);
+std::optional<operator_action_record> parse_operator_action(std::string_view json);
+
 const char* to_text(vm_phase phase);
 const char* to_text(request_state state);
 std::optional<vm_phase> parse_vm_phase(std::string_view text);
