--- /dev/null
+++ b/src/decisions/capacity.cpp
@@ -0,0 +1,347 @@
+#include "decisions/capacity.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+
+namespace jl::decisions {
+
+namespace {
+
+using records::vm_phase;
+using std::chrono::milliseconds;
+
+// A peak is a rise of the need by at least this factor and this many VMs; smaller changes are
+// noise.
+constexpr double peak_factor = 1.5;
+constexpr double peak_rise = 1;
+constexpr std::size_t max_peaks = 8;
+// Intervals between peaks that differ more than this from their mean give no forecast.
+constexpr double max_deviation = 0.35;
+// The bounds of the need move towards it by this share each observation.
+constexpr double bound_decay = 0.002;
+// A forecast peak that is overdue by more than this share of its interval is given up.
+constexpr double max_overdue = 0.35;
+
+constexpr double min_weight = 0.01;
+// Share of the slots that a pool should have busy. Weight on service during floods keeps more
+// slots free.
+constexpr double cheap_utilization = 0.9;
+constexpr double careful_utilization = 0.8;
+// A queue of waiting calls is to be worked off in this time, a deferred backlog in the other.
+constexpr double waiting_seconds = 4;
+constexpr double backlog_seconds = 60;
+constexpr double default_service_seconds = 0.1;
+
+int whole_vms(double need)
+{
+    // A need just above a whole number comes from rounding.
+    return static_cast<int>(std::ceil(need - 0.01));
+}
+
+struct pool_state {
+    const objects::pool* pool = nullptr;
+    const pool_outlook* outlook = nullptr;
+    int size = 0;     // VMs that are in the pool or on their way into it
+    int required = 0; // needed now or within the lead time
+    int held = 0;     // worth holding for the pool's own next peak
+    std::vector<std::size_t> movable;
+
+    int shortage() const { return std::max(0, required - size); }
+    int surplus() const { return std::max(0, size - std::max(required, held)); }
+};
+
+class move_planner {
+public:
+    move_planner(const fleet_snapshot& snapshot, const planning_limits& limits,
+                 const capacity_options& options, std::map<std::string, pool_outlook>& outlooks,
+                 budget_ledger& ledger, fleet_plan& plan)
+        : snapshot_(snapshot),
+          limits_(limits),
+          options_(options),
+          outlooks_(outlooks),
+          ledger_(ledger),
+          plan_(plan)
+    {
+        const auto& policy = snapshot.configuration->policy;
+        const double moves = std::max(policy.moves, min_weight);
+        const double buffer = std::max(policy.buffer_cost, min_weight);
+        move_value_ = std::chrono::duration_cast<milliseconds>(options.move_cost * moves / buffer);
+    }
+
+    void run()
+    {
+        gather();
+        meet_shortages();
+        release_surplus();
+    }
+
+private:
+    // Highest number of VMs that the forecast needs within `window`, within the pool's bounds.
+    int needed_within(const pool_state& state, milliseconds window) const
+    {
+        const auto& forecast = state.outlook->forecast;
+        int level = whole_vms(forecast.need());
+        const int maximum = state.pool->max_vms;
+        while (level < maximum) {
+            const auto wait = forecast.time_until(level + 1, snapshot_.now);
+            if (!wait || *wait > window) {
+                break;
+            }
+            ++level;
+        }
+        return std::clamp(level, state.pool->min_vms, maximum);
+    }
+
+    void gather()
+    {
+        for (const auto& pool : snapshot_.configuration->pools) {
+            auto& state = states_[pool.name];
+            state.pool = &pool;
+            state.outlook = &outlooks_[pool.name];
+            order_.push_back(&state);
+        }
+        for (std::size_t index = 0; index < snapshot_.vms.size(); ++index) {
+            const auto& vm = snapshot_.vms[index];
+            const auto& record = vm.record;
+            const auto found =
+                states_.find(record.move_to_pool.empty() ? record.pool : record.move_to_pool);
+            if (found == states_.end() || vm.record_revision == 0) {
+                continue;
+            }
+            // VMs in maintenance return; those lost may not.
+            const bool counts = vm.live() || record.phase != vm_phase::in_service;
+            found->second.size += counts ? 1 : 0;
+            if (vm.available() && !recently_withdrawn(snapshot_, limits_, vm) &&
+                snapshot_.operator_drains.count(record.vm) == 0) {
+                found->second.movable.push_back(index);
+            }
+        }
+        for (auto* state : order_) {
+            state->required = needed_within(*state, options_.lead);
+            // Returning and borrowing again costs two moves.
+            state->held = needed_within(*state, 2 * move_value_);
+            auto& since = outlooks_[state->pool->name].surplus_since;
+            if (state->size <= state->required) {
+                since.reset();
+            }
+            else if (!since) {
+                since = snapshot_.now;
+            }
+        }
+    }
+
+    // Moves one VM. Prefers a VM whose rack holds many VMs of its pool, so that the rest of the
+    // pool stays spread over racks.
+    bool move_one(pool_state& from, pool_state& to)
+    {
+        std::unordered_map<std::string, int> in_rack;
+        for (const auto index : from.movable) {
+            ++in_rack[snapshot_.vms[index].rack];
+        }
+        std::stable_sort(from.movable.begin(), from.movable.end(),
+                         [&](std::size_t left, std::size_t right) {
+                             const auto& first = snapshot_.vms[left];
+                             const auto& second = snapshot_.vms[right];
+                             return std::make_pair(first.tasks, -in_rack[first.rack]) <
+                                    std::make_pair(second.tasks, -in_rack[second.rack]);
+                         });
+        const auto found =
+            std::find_if(from.movable.begin(), from.movable.end(), [&](std::size_t index) {
+                return ledger_.allows(index, to.pool->name);
+            });
+        if (found == from.movable.end()) {
+            return false;
+        }
+        const auto index = *found;
+        from.movable.erase(found);
+        ledger_.take(index, to.pool->name);
+        plan_.steps.push_back(
+            start_drain(snapshot_, snapshot_.vms[index], "move " + to.pool->name, to.pool->name));
+        --from.size;
+        ++to.size;
+        return true;
+    }
+
+    pool_state* find_source(const pool_state& destination, const std::vector<pool_state*>& refused)
+    {
+        pool_state* best = nullptr;
+        for (auto* state : order_) {
+            if (state == &destination || state->surplus() == 0 || state->movable.empty() ||
+                std::count(refused.begin(), refused.end(), state) > 0) {
+                continue;
+            }
+            // VMs of the spare pool cost nothing where they are, so others come first.
+            const auto rank = [](const pool_state& item) {
+                return std::make_pair(item.pool->spare ? 0 : 1, item.surplus());
+            };
+            if (best == nullptr || rank(*best) < rank(*state)) {
+                best = state;
+            }
+        }
+        return best;
+    }
+
+    void meet_shortages()
+    {
+        std::vector<pool_state*> unmet;
+        for (auto* state : order_) {
+            if (state->shortage() > 0) {
+                unmet.push_back(state);
+            }
+        }
+        while (!unmet.empty()) {
+            // The pool that has the least share of what it needs comes first.
+            const auto next = std::min_element(
+                unmet.begin(), unmet.end(), [](const pool_state* left, const pool_state* right) {
+                    return left->size * right->required < right->size * left->required;
+                });
+            std::vector<pool_state*> refused;
+            bool moved = false;
+            while (auto* source = find_source(**next, refused)) {
+                moved = move_one(*source, **next);
+                if (moved) {
+                    break;
+                }
+                refused.push_back(source);
+            }
+            if (!moved || (*next)->shortage() == 0) {
+                unmet.erase(next);
+            }
+        }
+    }
+
+    void release_surplus()
+    {
+        const auto spare = std::find_if(order_.begin(), order_.end(), [](const pool_state* state) {
+            return state->pool->spare;
+        });
+        if (spare == order_.end()) {
+            return;
+        }
+        // A VM that waits for another pool's need saves the move to the spare pool.
+        int wanted_soon = 0;
+        for (const auto* state : order_) {
+            wanted_soon += std::max(0, needed_within(*state, move_value_) - state->size);
+        }
+        for (auto* state : order_) {
+            const auto since = state->outlook->surplus_since;
+            if (state->pool->spare || !since ||
+                snapshot_.now - *since < options_.release_delay) {
+                continue;
+            }
+            const int waiting = std::min(wanted_soon, state->surplus());
+            wanted_soon -= waiting;
+            for (int left = state->surplus() - waiting;
+                 left > 0 && (*spare)->size < (*spare)->pool->max_vms; --left) {
+                if (!move_one(*state, **spare)) {
+                    break;
+                }
+            }
+        }
+    }
+
+    const fleet_snapshot& snapshot_;
+    const planning_limits& limits_;
+    const capacity_options& options_;
+    std::map<std::string, pool_outlook>& outlooks_;
+    budget_ledger& ledger_;
+    fleet_plan& plan_;
+    milliseconds move_value_{}; // holding a VM this long costs as much as one move
+    std::unordered_map<std::string, pool_state> states_;
+    std::vector<pool_state*> order_;
+};
+
+} // namespace
+
+void demand_forecast::observe(milliseconds now, double need)
+{
+    if (!observed_) {
+        high_ = low_ = need;
+        observed_ = true;
+    }
+    need_ = need;
+    high_ = std::max(need, high_ - (high_ - low_) * bound_decay);
+    low_ = std::min(need, low_ + (high_ - low_) * bound_decay);
+    const bool varies = high_ >= low_ * peak_factor && high_ - low_ >= peak_rise;
+    const double middle = (high_ + low_) / 2;
+    if (!in_peak_ && varies && need > middle) {
+        in_peak_ = true;
+        peak_ = need;
+        starts_.push_back(now);
+        if (starts_.size() > max_peaks) {
+            starts_.pop_front();
+        }
+    }
+    else if (in_peak_ && need < middle) {
+        in_peak_ = false;
+        last_peak_ = peak_;
+    }
+    if (in_peak_) {
+        peak_ = std::max(peak_, need);
+    }
+}
+
+std::optional<milliseconds> demand_forecast::next_start(milliseconds now) const
+{
+    if (in_peak_ || starts_.size() < 2) {
+        return std::nullopt;
+    }
+    const auto intervals = static_cast<double>(starts_.size() - 1);
+    const double mean = static_cast<double>((starts_.back() - starts_.front()).count()) / intervals;
+    for (std::size_t index = 1; index < starts_.size(); ++index) {
+        const auto interval = static_cast<double>((starts_[index] - starts_[index - 1]).count());
+        if (std::abs(interval - mean) > mean * max_deviation) {
+            return std::nullopt;
+        }
+    }
+    const auto next = starts_.back() + milliseconds(static_cast<std::int64_t>(mean));
+    if (now > next + milliseconds(static_cast<std::int64_t>(mean * max_overdue))) {
+        return std::nullopt;
+    }
+    return next;
+}
+
+std::optional<milliseconds> demand_forecast::time_until(int level, milliseconds now) const
+{
+    if (whole_vms(need_) >= level) {
+        return milliseconds(0);
+    }
+    const auto start = next_start(now);
+    if (!start || whole_vms(last_peak_) < level) {
+        return std::nullopt;
+    }
+    return std::max(milliseconds(0), *start - now);
+}
+
+double estimate_need(const objects::service& service, const service_demand& demand,
+                     const objects::policy& policy, std::chrono::duration<double>& service_time)
+{
+    if (demand.waiting == 0 && demand.arrival_rate > 0 && demand.running > 0) {
+        // Little's law, while every request that arrives also starts.
+        constexpr double share = 0.2;
+        const std::chrono::duration<double> observed(demand.running / demand.arrival_rate);
+        service_time =
+            service_time.count() > 0 ? service_time + (observed - service_time) * share : observed;
+    }
+    const double seconds =
+        service_time.count() > 0 ? service_time.count() : default_service_seconds;
+    const double rate = demand.arrival_rate + demand.waiting / waiting_seconds +
+                        demand.backlog / backlog_seconds;
+    const double busy = std::max<double>(rate * seconds, demand.running);
+    const double utilization =
+        policy.flood_service > policy.buffer_cost ? careful_utilization : cheap_utilization;
+    return busy / utilization / std::max(1, service.slots_per_instance);
+}
+
+void plan_moves(const fleet_snapshot& snapshot, const planning_limits& limits,
+                const capacity_options& options, std::map<std::string, pool_outlook>& outlooks,
+                budget_ledger& ledger, fleet_plan& plan)
+{
+    if (!may_start_drains(snapshot).allowed) {
+        return;
+    }
+    move_planner(snapshot, limits, options, outlooks, ledger, plan).run();
+}
+
+} // namespace jl::decisions
