--- a/src/bin/entry_main.cpp
+++ b/src/bin/entry_main.cpp
@@ -29,7 +29,7 @@
     {"peer.listen", setting_type::text, "IP:port", "", {}, {}, "address for links of peers"},
     {"peer.advertise", setting_type::text, "IP:port", "", {}, {},
      "address that other entries connect to"},
-    {"store.addresses", setting_type::text_list, "IP:port", "", {}, {},
+    {"store.endpoints", setting_type::text_list, "IP:port", "", {}, {},
      "addresses of the platform's key-value service"},
     {"store.lease_ttl_s", setting_type::integer, "s", "5", 2, 60,
      "time to live of this process's lease"},
@@ -66,8 +66,8 @@
     read("peer.listen", settings.text("peer.listen"), result.peers);
     read("peer.advertise", settings.text("peer.advertise"), result.advertised);
     read("platform.address", settings.text("platform.address"), result.platform);
-    for (const auto& text : settings.list("store.addresses")) {
-        read("store.addresses", text, result.stores.emplace_back());
+    for (const auto& text : settings.list("store.endpoints")) {
+        read("store.endpoints", text, result.stores.emplace_back());
     }
     if (result.stores.empty()) {
         std::cerr << "jl-entry: key \"store.addresses\": expected at least one address\n";
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -182,7 +182,7 @@
             {"peer",
              {{"listen", entry.peer_address.to_string()},
               {"advertise", add_route("peer-" + std::to_string(index), entry.peer_address)}}},
-            {"store", {{"addresses", {platform}}}},
+            {"store", {{"endpoints", {platform}}}},
             {"platform", {{"address", platform}}}};
         settings.merge_patch(options_.entry_settings);
         entry.settings_path = write_file(entry.name + ".json", settings.dump(1));
@@ -199,8 +199,8 @@
             member planner;
             planner.name = "planner-" + std::to_string(index);
             json settings = {{"planner", {{"id", planner.name}}},
-                             {"entry", {{"peer_address", entry_peer}}},
-                             {"store", {{"addresses", {platform}}}},
+                             {"entry", {{"address", entry_peer}}},
+                             {"store", {{"endpoints", {platform}}}},
                              {"platform", {{"address", platform}}}};
             settings.merge_patch(options_.planner_settings);
             planner.settings_path = write_file(planner.name + ".json", settings.dump(1));
@@ -211,8 +211,8 @@
             admin.name = "admin-" + std::to_string(index);
             admin.address = free_endpoint();
             json settings = {{"admin", {{"listen", admin.address.to_string()}}},
-                             {"entry", {{"peer_address", entry_peer}}},
-                             {"store", {{"addresses", {platform}}}}};
+                             {"entry", {{"address", entry_peer}}},
+                             {"store", {{"endpoints", {platform}}}}};
             settings.merge_patch(options_.admin_settings);
             admin.settings_path = write_file(admin.name + ".json", settings.dump(1));
             admins_.push_back(std::move(admin));
