--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -158,6 +158,7 @@
                 {"accepted_at_ms", record.accepted_at.count()},
                 {"expires_at_ms", record.expires_at.count()},
                 {"body", to_bytes(record.body)},
+                {"content_type", record.content_type},
                 {"answer_status", record.answer_status},
                 {"answer_content_type", record.answer_content_type},
                 {"answer", to_bytes(record.answer)},
@@ -210,6 +211,7 @@
         record.accepted_at = time_field(value, "accepted_at_ms");
         record.expires_at = time_field(value, "expires_at_ms");
         record.body = from_bytes(value.at("body"));
+        record.content_type = value.value("content_type", "");
         record.answer_status = value.at("answer_status").get<int>();
         record.answer_content_type = value.at("answer_content_type").get<std::string>();
         record.answer = from_bytes(value.at("answer"));
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -60,7 +60,8 @@
     std::string holder;                      // entry that dispatches it
     std::chrono::milliseconds accepted_at{}; // since the Unix epoch
     std::chrono::milliseconds expires_at{};  // not started after this time; 0: never expires
-    std::string body;                        // deferred requests only, until answered
+    std::string body;                        // deferred requests only, until started or answered
+    std::string content_type;                // of the body
     int answer_status = 0;
     std::string answer_content_type;
     std::string answer;
--- /dev/null
+++ b/src/requests/durable_requests.cpp
@@ -0,0 +1,758 @@
+#include "requests/durable_requests.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/periodic_task.h"
+#include "requests/deferred_queue.h"
+#include "requests/execution_pool.h"
+#include "requests/request_log.h"
+
+namespace jl::requests {
+
+namespace {
+
+using internal::deferred_queue;
+using internal::request_log;
+using internal::stored_request;
+using records::request_record;
+using records::request_state;
+
+constexpr std::chrono::milliseconds step_period{20};
+constexpr std::chrono::milliseconds unsaved_retry_period{250};
+// A role moves only if another entry has been preferred for this many rounds, so that a short
+// disagreement about members moves nothing.
+constexpr int rounds_until_release = 3;
+constexpr int max_claim_attempts = 4;
+constexpr int manual_flushes = 16;
+// Wait of a stopping process for start marks, and again for outcomes, to reach the store.
+constexpr std::chrono::milliseconds stop_limit{1000};
+// Keys that one transaction may read.
+constexpr std::size_t max_read_keys = 128;
+// Cancellations sent together; their writes must fit into the queue of the group commit.
+constexpr std::size_t max_cancellations = 1024;
+constexpr std::size_t max_record_bytes = 1000000;
+constexpr std::chrono::milliseconds backlog_retry_after{5000};
+
+call_result refuse(int status, std::string code, std::string message, std::string field = "")
+{
+    call_result result;
+    result.result = outcome::not_run;
+    result.status = status;
+    result.error_code = std::move(code);
+    result.error_message = std::move(message);
+    result.error_field = std::move(field);
+    return result;
+}
+
+call_result refuse_store(const store::store_error& error)
+{
+    return refuse(503, "store_unavailable",
+                  "the request could not be recorded and was not run: " + error.message);
+}
+
+call_result unknown(int status, std::string code, std::string message)
+{
+    auto result = refuse(status, std::move(code), std::move(message));
+    result.result = outcome::unknown;
+    return result;
+}
+
+call_result accepted()
+{
+    call_result result;
+    result.result = outcome::accepted;
+    result.status = 202;
+    return result;
+}
+
+std::optional<stored_request> find_current(const store::change_result& result,
+                                           const std::string& key)
+{
+    for (const auto& item : result.current) {
+        if (item.key == key) {
+            if (auto record = records::parse_request(item.value)) {
+                return stored_request{std::move(*record), item.mod_revision};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+class durable_implementation final : public durable_service {
+public:
+    durable_implementation(store::key_value_store& store, store::process_lease& lease,
+                           cluster::cluster_state& cluster, call_engine& engine,
+                           const clock_source& clock, metrics& metrics,
+                           const durable_options& options)
+        : options_(options),
+          lease_(lease),
+          cluster_(cluster),
+          engine_(engine),
+          clock_(clock),
+          random_(options_.seed != 0 ? options_.seed : std::random_device{}()),
+          executions_(options_.background ? options_.max_executions : 0),
+          context_{log_, lease, cluster, engine, executions_, options_, [this] { wake(); }, {}},
+          log_(store, cluster, clock, metrics, options_)
+    {
+        cluster_.set_queue_notice_handler([this](const std::string& service) {
+            if (const auto queue = find_queue(service)) {
+                queue->notice();
+            }
+        });
+        if (options_.background) {
+            const std::lock_guard lock(loop_mutex_);
+            loop_ = std::make_unique<periodic_task>(step_period, step_period / 4,
+                                                    [this] { run_step(); });
+        }
+    }
+
+    ~durable_implementation() override
+    {
+        cluster_.set_queue_notice_handler({});
+        std::unique_ptr<periodic_task> loop;
+        {
+            const std::lock_guard lock(loop_mutex_);
+            loop = std::move(loop_);
+        }
+        loop.reset();
+        finish_work();
+    }
+    durable_implementation(const durable_implementation&) = delete;
+    durable_implementation& operator=(const durable_implementation&) = delete;
+
+    call_result execute_once(const call& call) override;
+    call_result accept_deferred(const call& call) override;
+    std::optional<request_record> find(const std::string& id, std::string& reason) override;
+    std::vector<std::string> cancel(const std::vector<std::string>& ids) override;
+    int backlog(const std::string& service) const override;
+    void step() override;
+
+private:
+    using queue_ptr = std::shared_ptr<deferred_queue>;
+    struct claim_result {
+        std::int64_t revision = 0; // not 0: the claim is ours
+        call_result answer;        // otherwise: what the caller gets
+    };
+    struct role_state {
+        int rounds_not_preferred = 0;
+    };
+
+    claim_result claim(const call& call, const request_record& record);
+    // Decides about a key that is in use. Nothing: the claim may be repeated with `expected` as the
+    // condition.
+    std::optional<call_result> answer_from(const call& call, const stored_request& found,
+                                           store::compare& expected);
+    void give_up_late_claim(const request_record& record, const store::change_result& result);
+    std::optional<request_record> settle(const stored_request& found);
+    std::optional<call_result> check_deferred(const call& call) const;
+    static call_result answer_accepted(const request_record& wanted,
+                                       const store::change_result& result);
+    int known_backlog(const std::string& service) const;
+    std::optional<request_record> find_deferred(const stored_request& found);
+    void cancel_some(const std::vector<std::string>& ids, std::vector<std::string>& cancelled);
+    queue_ptr find_queue(const std::string& service) const;
+    std::vector<queue_ptr> queues() const;
+    void run_step();
+    void update_roles();
+    void update_role(const std::string& service, bool preferred);
+    bool role_is_free(const std::string& role);
+    std::string preferred_member(const std::vector<cluster::member_status>& members,
+                                 const std::string& service) const;
+    void finish_work();
+    void wait_for(const std::function<bool()>& condition) const;
+    void wake();
+    std::chrono::milliseconds jittered(std::chrono::milliseconds period);
+    steady_time commit_deadline(const call& call) const
+    {
+        return std::min(call.deadline, clock_.steady_now() + options_.commit_limit);
+    }
+
+    const durable_options options_;
+    store::process_lease& lease_;
+    cluster::cluster_state& cluster_;
+    call_engine& engine_;
+    const clock_source& clock_;
+    std::mt19937_64 random_;          // used by the step thread only
+    mutable std::mutex queues_mutex_; // rank 4
+    std::map<std::string, queue_ptr> queues_;
+    std::set<std::string> notices_; // services whose owner is to be told of new requests
+    std::map<std::string, role_state> roles_;
+    steady_time next_roles_;
+    steady_time next_unsaved_;
+    internal::execution_pool executions_;
+    internal::queue_context context_;
+    request_log log_; // its callbacks use the members above
+    std::mutex loop_mutex_;
+    std::unique_ptr<periodic_task> loop_;
+};
+
+// Keyed calls
+
+call_result durable_implementation::execute_once(const call& call)
+{
+    if (log_.unsaved() >= options_.max_unsaved) {
+        return refuse(503, "overloaded", "too many outcomes wait for the store");
+    }
+    auto record = internal::make_record(call, clock_);
+    record.state = request_state::running;
+    record.holder = log_.holder();
+    if (record.holder.empty()) {
+        return refuse(503, "not_ready", "this entry is not a member yet");
+    }
+    auto claimed = claim(call, record);
+    if (claimed.revision == 0) {
+        return claimed.answer;
+    }
+    auto result = engine_.execute(call);
+    internal::final_write write;
+    write.condition = store::unchanged_since(internal::request_key(record.id), claimed.revision);
+    switch (result.result) {
+    case outcome::answered:
+        write.record = internal::with_answer(std::move(record), result);
+        break;
+    case outcome::not_run:
+        // Frees the key: the next call with it takes the claim over. The record stays, because a
+        // delayed repetition of the claim's write must find the key in use.
+        write.record = internal::with_state(std::move(record), request_state::cancelled);
+        break;
+    case outcome::accepted:
+    case outcome::unknown:
+        write.record = internal::with_state(std::move(record), request_state::unknown);
+        break;
+    }
+    log_.save_and_wait(std::move(write), std::min(options_.answer_limit,
+                                                  time_left(call.deadline, clock_.steady_now())));
+    return result;
+}
+
+durable_implementation::claim_result durable_implementation::claim(const call& call,
+                                                                   const request_record& record)
+{
+    const auto key = internal::request_key(record.id);
+    auto expected = store::key_absent(key);
+    for (int attempt = 0; attempt < max_claim_attempts; ++attempt) {
+        const auto lease = log_.lease();
+        if (!lease) {
+            return {0, refuse_store(store::last_error())};
+        }
+        store::change change;
+        change.compares = {expected};
+        change.writes = {store::put(key, records::to_json(record), *lease)};
+        change.deadline = commit_deadline(call);
+        const auto result = log_.commits().commit(
+            std::move(change),
+            [this, record](const store::change_result& late) { give_up_late_claim(record, late); });
+        switch (result.outcome) {
+        case store::change_outcome::committed:
+            return {result.revision, {}};
+        case store::change_outcome::unknown:
+            return {0, refuse_store(result.error)};
+        case store::change_outcome::not_applied:
+            if (result.error.code != store::store_error_code::lease_not_found) {
+                return {0, refuse_store(result.error)};
+            }
+            log_.forget_lease(*lease);
+            continue;
+        case store::change_outcome::conflict:
+            break;
+        }
+        expected = store::key_absent(key);
+        if (const auto found = find_current(result, key)) {
+            if (auto answer = answer_from(call, *found, expected)) {
+                return {0, std::move(*answer)};
+            }
+        }
+    }
+    return {0, refuse(503, "key_contended", "the key is in use by other calls")};
+}
+
+// The claim was committed after its caller had been told that nothing ran.
+void durable_implementation::give_up_late_claim(const request_record& record,
+                                                const store::change_result& result)
+{
+    if (result.outcome != store::change_outcome::committed) {
+        return;
+    }
+    internal::final_write write;
+    write.condition = store::unchanged_since(internal::request_key(record.id), result.revision);
+    write.record = internal::with_state(record, request_state::cancelled);
+    log_.save_later(std::move(write));
+}
+
+std::optional<call_result> durable_implementation::answer_from(const call& call,
+                                                               const stored_request& found,
+                                                               store::compare& expected)
+{
+    auto record = found.record;
+    if (record.body_hash != internal::request_hash(call) || record.service != call.service ||
+        internal::is_deferred(record)) {
+        return refuse(422, "key_reused", "the idempotency key was used for another request",
+                      "Idempotency-Key");
+    }
+    if (record.state == request_state::running && log_.holder_gone(record.holder)) {
+        if (const auto settled = settle(found)) {
+            record = *settled;
+        }
+    }
+    const bool repeatable = record.state == request_state::unknown && record.idempotent;
+    if (record.state == request_state::cancelled || repeatable) {
+        expected = store::unchanged_since(internal::request_key(found.record.id), found.revision);
+        return std::nullopt;
+    }
+    if (record.state == request_state::answered) {
+        call_result result;
+        result.result = outcome::answered;
+        result.status = record.answer_status;
+        result.content_type = record.answer_content_type;
+        result.body = record.answer;
+        return result;
+    }
+    if (record.state == request_state::running) {
+        return unknown(409, "running", "a request with this key is running");
+    }
+    return unknown(504, "unknown", "a request with this key may have run; it is not repeated");
+}
+
+// Marks a claim as unknown whose holder is gone. Nothing: the store did not take the write in time.
+std::optional<request_record> durable_implementation::settle(const stored_request& found)
+{
+    internal::final_write write;
+    write.condition =
+        store::unchanged_since(internal::request_key(found.record.id), found.revision);
+    write.record = internal::with_state(found.record, request_state::unknown);
+    const auto settled = write.record;
+    if (!log_.save_and_wait(std::move(write), options_.answer_limit)) {
+        return std::nullopt;
+    }
+    return settled;
+}
+
+// Deferred requests
+
+std::optional<call_result> durable_implementation::check_deferred(const call& call) const
+{
+    const auto* service =
+        call.configuration ? call.configuration->find_service(call.service) : nullptr;
+    if (service == nullptr) {
+        return refuse(404, "unknown_service", "no service named " + call.service, "service");
+    }
+    if (known_backlog(call.service) >= service->max_backlog) {
+        auto result = refuse(503, "backlog_full", "the deferred queue of the service is full");
+        result.retry_after = backlog_retry_after;
+        return result;
+    }
+    return std::nullopt;
+}
+
+int durable_implementation::known_backlog(const std::string& service) const
+{
+    int known = backlog(service);
+    for (const auto& status : cluster_.members()) {
+        for (const auto& load : status.loads) {
+            if (status.alive && load.service == service) {
+                known = std::max(known, load.backlog);
+            }
+        }
+    }
+    return known;
+}
+
+call_result durable_implementation::accept_deferred(const call& call)
+{
+    if (auto refusal = check_deferred(call)) {
+        return *refusal;
+    }
+    auto entry = internal::make_record(call, clock_);
+    entry.state = request_state::queued;
+    const auto expiry =
+        call.expires_after.count() > 0 ? call.expires_after : options_.default_expiry;
+    entry.expires_at = entry.accepted_at + expiry;
+    const auto state = entry;
+    entry.body = call.body;
+    auto text = records::to_json(entry);
+    if (text.size() > max_record_bytes) {
+        return refuse(413, "too_large", "the body is too large for a deferred request", "body");
+    }
+    const auto key = internal::request_key(entry.id);
+    store::change change;
+    change.compares = {store::key_absent(key)};
+    // Neither key has a lease: an accepted request stays until its outcome is written.
+    change.writes = {store::put(internal::deferred_key(call.service, entry.id), std::move(text)),
+                     store::put(key, records::to_json(state))};
+    change.deadline = commit_deadline(call);
+    const auto notify = [this, entry](const store::change_result& result) {
+        if (result.outcome != store::change_outcome::committed) {
+            return;
+        }
+        const auto queue = find_queue(entry.service);
+        if (queue && queue->owned()) {
+            queue->add({entry, result.revision});
+            wake();
+            return;
+        }
+        const std::lock_guard lock(queues_mutex_);
+        notices_.insert(entry.service);
+    };
+    const auto result = log_.commits().commit(std::move(change), notify);
+    notify(result);
+    return answer_accepted(entry, result);
+}
+
+call_result durable_implementation::answer_accepted(const request_record& wanted,
+                                                    const store::change_result& result)
+{
+    switch (result.outcome) {
+    case store::change_outcome::committed:
+        return accepted();
+    case store::change_outcome::not_applied:
+        return refuse_store(result.error);
+    case store::change_outcome::unknown:
+        return unknown(504, "unknown",
+                       "the request may have been accepted; query its id before sending it again");
+    case store::change_outcome::conflict:
+        break;
+    }
+    const auto found = find_current(result, internal::request_key(wanted.id));
+    if (!found) {
+        return unknown(504, "unknown", "the record of this key cannot be read");
+    }
+    if (found->record.body_hash != wanted.body_hash || found->record.service != wanted.service ||
+        !internal::is_deferred(found->record)) {
+        return refuse(422, "key_reused", "the idempotency key was used for another request",
+                      "Idempotency-Key");
+    }
+    if (found->record.state == request_state::cancelled ||
+        found->record.state == request_state::expired) {
+        return refuse(409, records::to_text(found->record.state),
+                      "the request with this key has ended without running");
+    }
+    return accepted();
+}
+
+// State
+
+std::optional<request_record> durable_implementation::find(const std::string& id,
+                                                           std::string& reason)
+{
+    const auto found = log_.read(internal::request_key(id));
+    if (!found) {
+        reason = "unavailable";
+        return std::nullopt;
+    }
+    if (found->revision == 0) {
+        reason = "not_found";
+        return std::nullopt;
+    }
+    if (found->record.state == request_state::queued) {
+        auto record = find_deferred(*found);
+        if (!record) {
+            reason = "unavailable";
+        }
+        return record;
+    }
+    if (found->record.state == request_state::running && log_.holder_gone(found->record.holder)) {
+        if (auto settled = settle(*found)) {
+            return settled;
+        }
+    }
+    return found->record;
+}
+
+std::optional<request_record> durable_implementation::find_deferred(const stored_request& found)
+{
+    const auto queue = find_queue(found.record.service);
+    if (queue && queue->started(found.record.id)) {
+        auto record = found.record;
+        record.state = request_state::running;
+        return record;
+    }
+    auto entry = log_.read(internal::deferred_key(found.record.service, found.record.id));
+    if (!entry) {
+        return std::nullopt;
+    }
+    if (entry->revision != 0) {
+        entry->record.body.clear();
+        return entry->record;
+    }
+    // The outcome was written between the two reads.
+    const auto again = log_.read(internal::request_key(found.record.id));
+    return again ? std::optional(again->record) : std::nullopt;
+}
+
+// Cancellation
+
+std::vector<std::string> durable_implementation::cancel(const std::vector<std::string>& ids)
+{
+    std::vector<std::string> cancelled;
+    for (std::size_t start = 0; start < ids.size(); start += max_cancellations) {
+        const auto end = std::min(start + max_cancellations, ids.size());
+        std::set<std::string> distinct(ids.begin() + static_cast<std::ptrdiff_t>(start),
+                                       ids.begin() + static_cast<std::ptrdiff_t>(end));
+        cancel_some({distinct.begin(), distinct.end()}, cancelled);
+    }
+    return cancelled;
+}
+
+void durable_implementation::cancel_some(const std::vector<std::string>& ids,
+                                         std::vector<std::string>& cancelled)
+{
+    struct progress {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::size_t pending = 0;
+        std::vector<std::string> cancelled;
+    };
+    const auto lease = log_.lease();
+    if (!lease) {
+        return;
+    }
+    const auto state = std::make_shared<progress>();
+    const auto deadline = clock_.steady_now() + options_.commit_limit;
+    for (std::size_t start = 0; start < ids.size(); start += max_read_keys) {
+        std::vector<std::string> keys;
+        for (std::size_t at = start; at < std::min(start + max_read_keys, ids.size()); ++at) {
+            keys.push_back(internal::request_key(ids[at]));
+        }
+        const auto found = log_.read(keys);
+        std::vector<std::string> queued;
+        for (const auto& [key, stored] : found.value_or(std::map<std::string, stored_request>{})) {
+            const auto& record = stored.record;
+            const auto queue = find_queue(record.service);
+            if (record.state == request_state::cancelled && internal::is_deferred(record)) {
+                cancelled.push_back(record.id);
+            }
+            else if (record.state == request_state::queued &&
+                     !(queue && queue->started(record.id))) {
+                queued.push_back(internal::deferred_key(record.service, record.id));
+            }
+        }
+        const auto entries =
+            queued.empty() ? std::map<std::string, stored_request>{}
+                           : log_.read(queued).value_or(std::map<std::string, stored_request>{});
+        for (const auto& [key, stored] : entries) {
+            if (stored.record.state != request_state::queued) {
+                continue;
+            }
+            const auto record = internal::with_state(stored.record, request_state::cancelled);
+            store::change change;
+            change.compares = {store::unchanged_since(key, stored.revision)};
+            change.writes = {
+                store::put(internal::request_key(record.id), records::to_json(record), *lease),
+                store::remove(key)};
+            change.deadline = deadline;
+            {
+                const std::lock_guard lock(state->mutex);
+                ++state->pending;
+            }
+            const auto queue = find_queue(record.service);
+            const auto done = [state, queue, id = record.id](const store::change_result& result) {
+                const bool written = result.outcome == store::change_outcome::committed;
+                if (written && queue) {
+                    queue->forget(id);
+                }
+                const std::lock_guard lock(state->mutex);
+                if (written) {
+                    state->cancelled.push_back(id);
+                }
+                --state->pending;
+                state->changed.notify_all();
+            };
+            if (!log_.commits().submit(std::move(change), done)) {
+                const std::lock_guard lock(state->mutex);
+                --state->pending;
+            }
+        }
+    }
+    for (int flushes = 0; !options_.background && flushes < manual_flushes; ++flushes) {
+        log_.commits().flush();
+    }
+    std::unique_lock lock(state->mutex);
+    if (options_.background) {
+        state->changed.wait_until(lock, deadline, [&] { return state->pending == 0; });
+    }
+    cancelled.insert(cancelled.end(), state->cancelled.begin(), state->cancelled.end());
+}
+
+// Queues and roles
+
+int durable_implementation::backlog(const std::string& service) const
+{
+    const auto queue = find_queue(service);
+    return queue ? queue->backlog() : 0;
+}
+
+durable_implementation::queue_ptr
+durable_implementation::find_queue(const std::string& service) const
+{
+    const std::lock_guard lock(queues_mutex_);
+    const auto found = queues_.find(service);
+    return found == queues_.end() ? nullptr : found->second;
+}
+
+std::vector<durable_implementation::queue_ptr> durable_implementation::queues() const
+{
+    std::vector<queue_ptr> all;
+    const std::lock_guard lock(queues_mutex_);
+    for (const auto& [service, queue] : queues_) {
+        all.push_back(queue);
+    }
+    return all;
+}
+
+// Ends in order, so that a planned stop leaves no request in doubt: what has started is finished,
+// what is only marked as started goes back to its queue.
+void durable_implementation::finish_work()
+{
+    context_.stopping = true;
+    const auto all = queues();
+    wait_for([&] {
+        return std::none_of(all.begin(), all.end(),
+                            [](const queue_ptr& queue) { return queue->marking(); });
+    });
+    executions_.stop();
+    for (const auto& queue : all) {
+        queue->unmark_all();
+    }
+    wait_for([this] { return log_.unsaved() == 0; });
+}
+
+void durable_implementation::wait_for(const std::function<bool()>& condition) const
+{
+    const auto until = clock_.steady_now() + stop_limit;
+    while (options_.background && !condition() && clock_.steady_now() < until) {
+        std::this_thread::sleep_for(step_period / 4);
+    }
+}
+
+void durable_implementation::wake()
+{
+    const std::lock_guard lock(loop_mutex_);
+    if (loop_) {
+        loop_->wake();
+    }
+}
+
+std::chrono::milliseconds durable_implementation::jittered(std::chrono::milliseconds period)
+{
+    std::uniform_int_distribution<std::int64_t> extra(0, period.count());
+    return period + std::chrono::milliseconds(extra(random_));
+}
+
+void durable_implementation::step()
+{
+    run_step();
+    for (int flushes = 0; flushes < manual_flushes && log_.commits().flush(); ++flushes) {
+    }
+    executions_.run_posted();
+    for (int flushes = 0; flushes < manual_flushes && log_.commits().flush(); ++flushes) {
+    }
+}
+
+void durable_implementation::run_step()
+{
+    const auto now = clock_.steady_now();
+    if (now >= next_roles_) {
+        next_roles_ = now + jittered(options_.role_period / 2);
+        update_roles();
+    }
+    std::set<std::string> notices;
+    {
+        const std::lock_guard lock(queues_mutex_);
+        notices.swap(notices_);
+    }
+    for (const auto& service : notices) {
+        cluster_.notify_queue(service);
+    }
+    if (now >= next_unsaved_) {
+        next_unsaved_ = now + jittered(unsaved_retry_period);
+        log_.retry_unsaved();
+    }
+    for (const auto& queue : queues()) {
+        queue->step();
+    }
+}
+
+void durable_implementation::update_roles()
+{
+    const auto configuration = cluster_.configuration();
+    if (!configuration) {
+        return;
+    }
+    const auto members = cluster_.members();
+    for (const auto& service : configuration->services) {
+        update_role(service.name, preferred_member(members, service.name) == cluster_.self());
+    }
+}
+
+std::string
+durable_implementation::preferred_member(const std::vector<cluster::member_status>& members,
+                                         const std::string& service) const
+{
+    const auto self = cluster_.self();
+    const auto role = deferred_queue::role_of(service);
+    std::string preferred;
+    std::uint64_t best = 0;
+    for (const auto& status : members) {
+        const auto& name = status.member.member;
+        const bool able = name == self ? lease_.valid() : status.alive && status.store_reachable;
+        const auto score = rendezvous_score(name, role);
+        if (able && (preferred.empty() || score > best)) {
+            preferred = name;
+            best = score;
+        }
+    }
+    return preferred;
+}
+
+// A read costs less than a write, so a role is only tried for if it is free.
+bool durable_implementation::role_is_free(const std::string& role)
+{
+    const auto found = log_.scan({records::owners_prefix + role, "", 0});
+    return found && (found->items.empty() || found->items[0].lease == lease_.id());
+}
+
+void durable_implementation::update_role(const std::string& service, bool preferred)
+{
+    const auto role = deferred_queue::role_of(service);
+    auto queue = find_queue(service);
+    if (!queue) {
+        queue = std::make_shared<deferred_queue>(context_, service, random_());
+        const std::lock_guard lock(queues_mutex_);
+        queues_[service] = queue;
+    }
+    auto token = lease_.token(role);
+    auto& state = roles_[service];
+    state.rounds_not_preferred = preferred ? 0 : state.rounds_not_preferred + 1;
+    if (!token && preferred && lease_.valid() && role_is_free(role)) {
+        token = lease_.acquire(role);
+    }
+    const bool leaving = state.rounds_not_preferred >= rounds_until_release;
+    queue->set_owned(token && !leaving);
+    if (token && leaving && !queue->marking()) {
+        lease_.release(role);
+    }
+}
+
+} // namespace
+
+std::unique_ptr<durable_service>
+make_durable_requests(store::key_value_store& store, store::process_lease& lease,
+                      cluster::cluster_state& cluster, call_engine& engine,
+                      const clock_source& clock, metrics& metrics, const durable_options& options)
+{
+    return std::make_unique<durable_implementation>(store, lease, cluster, engine, clock, metrics,
+                                                    options);
+}
+
+} // namespace jl::requests
--- /dev/null
+++ b/src/requests/durable_test_support.h
@@ -0,0 +1,365 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "requests/durable_requests.h"
+#include "standins/memory_store.h"
+
+// Several entries over one in-memory store and one clock that the test moves, without threads.
+namespace jl::requests::testing {
+
+class manual_clock final : public clock_source {
+public:
+    steady_time steady_now() const override { return steady_time(since_start_); }
+    wall_time wall_now() const override
+    {
+        return wall_time(std::chrono::hours(24 * 365 * 50) + since_start_);
+    }
+    void advance(std::chrono::milliseconds time) { since_start_ += time; }
+
+private:
+    std::chrono::milliseconds since_start_{1000000};
+};
+
+// Thrown out of a call of an entry that is killed during it.
+struct killed {};
+
+enum class call_fault {
+    none,
+    unavailable,  // no effect
+    lost_answer,  // took effect
+    lost_call,    // no effect, but the caller cannot know
+    delayed_call, // takes effect at release_delayed(); the caller cannot know
+    kill_before,  // the entry dies before the call takes effect
+    kill_after,
+};
+
+// One entry's connection to the store. `decide` chooses the fault of each call.
+class faulty_store final : public store::key_value_store {
+public:
+    explicit faulty_store(store::key_value_store& store) : store_(store) {}
+
+    std::function<call_fault()> decide = [] { return call_fault::none; };
+    bool dead = false;
+    std::vector<store::transaction> delayed;
+
+    void release_delayed()
+    {
+        for (const auto& transaction : std::exchange(delayed, {})) {
+            store_.commit(transaction, {});
+        }
+    }
+
+    std::optional<store::range_result> range(const store::range_request& request,
+                                             steady_time deadline) override
+    {
+        return run<store::range_result>([&] { return store_.range(request, deadline); });
+    }
+    std::optional<store::transaction_result> commit(const store::transaction& transaction,
+                                                    steady_time deadline) override
+    {
+        delayable_ = &transaction;
+        return run<store::transaction_result>([&] { return store_.commit(transaction, deadline); });
+    }
+    std::optional<std::int64_t> grant_lease(std::chrono::seconds ttl, steady_time deadline) override
+    {
+        return run<std::int64_t>([&] { return store_.grant_lease(ttl, deadline); });
+    }
+    std::optional<std::chrono::seconds> keep_alive(std::int64_t lease,
+                                                   steady_time deadline) override
+    {
+        return run<std::chrono::seconds>([&] { return store_.keep_alive(lease, deadline); });
+    }
+    bool revoke_lease(std::int64_t lease, steady_time deadline) override
+    {
+        return store_.revoke_lease(lease, deadline);
+    }
+    std::unique_ptr<store::watch> start_watch(const std::string& /*key*/,
+                                              const std::string& /*range_end*/,
+                                              std::int64_t /*start_revision*/,
+                                              store::watch_callback /*callback*/) override
+    {
+        return nullptr;
+    }
+
+private:
+    template <typename Result, typename Function>
+    std::optional<Result> run(Function function)
+    {
+        const auto* transaction = std::exchange(delayable_, nullptr);
+        if (dead) {
+            return store::internal::fail(store::store_error_code::unavailable, "dead");
+        }
+        switch (decide()) {
+        case call_fault::none:
+            return function();
+        case call_fault::unavailable:
+            return store::internal::fail(store::store_error_code::unavailable, "injected");
+        case call_fault::lost_answer:
+            function();
+            break;
+        case call_fault::lost_call:
+            break;
+        case call_fault::delayed_call:
+            if (transaction != nullptr) {
+                delayed.push_back(*transaction);
+            }
+            break;
+        case call_fault::kill_before:
+            dead = true;
+            throw killed{};
+        case call_fault::kill_after:
+            function();
+            dead = true;
+            throw killed{};
+        }
+        return store::internal::fail(store::store_error_code::outcome_unknown, "injected");
+    }
+
+    store::key_value_store& store_;
+    const store::transaction* delayable_ = nullptr;
+};
+
+struct run_ledger {
+    std::map<std::string, int> runs; // by request id
+    std::map<std::string, std::string> bodies;
+};
+
+class fake_engine final : public call_engine {
+public:
+    fake_engine(run_ledger& ledger, const faulty_store& store) : ledger_(ledger), store_(store) {}
+
+    // Chooses the result of an execution; called before the run is recorded.
+    std::function<outcome(const call&)> decide = [](const call&) { return outcome::answered; };
+    bool room = true;
+
+    call_result execute(const call& call) override
+    {
+        call_result result;
+        result.result = store_.dead ? outcome::not_run : decide(call);
+        if (result.result == outcome::not_run) {
+            return result;
+        }
+        ++ledger_.runs[call.id];
+        ledger_.bodies[call.id] = call.body;
+        result.status = result.result == outcome::answered ? 200 : 504;
+        result.content_type = "text/plain";
+        result.body = "answer to " + call.body;
+        return result;
+    }
+    bool has_room_for_deferred(const std::string& /*service*/) const override { return room; }
+    int in_flight(const std::string& /*vm*/) const override { return 0; }
+
+private:
+    run_ledger& ledger_;
+    const faulty_store& store_;
+};
+
+class fake_cluster final : public cluster::cluster_state {
+public:
+    explicit fake_cluster(std::string self) : self_(std::move(self)) {}
+
+    objects::object_set_ptr set;
+    std::function<std::vector<cluster::member_status>()> list_members;
+    std::function<void(const std::string&)> notify;
+    cluster::queue_notice_handler notice_handler;
+
+    objects::object_set_ptr configuration() const override { return set; }
+    cluster::vm_snapshot_ptr vms() const override
+    {
+        return std::make_shared<const cluster::vm_snapshot>();
+    }
+    std::vector<cluster::member_status> members() const override { return list_members(); }
+    bool may_send() const override { return true; }
+    std::string self() const override { return self_; }
+    void notify_queue(const std::string& service) override { notify(service); }
+    void set_in_flight_source(cluster::in_flight_source /*source*/) override {}
+    void set_load_source(cluster::load_source /*source*/) override {}
+    void set_queue_notice_handler(cluster::queue_notice_handler handler) override
+    {
+        notice_handler = std::move(handler);
+    }
+    void start() override {}
+
+private:
+    std::string self_;
+};
+
+class test_world;
+
+// One process. Destroyed without any call to the store if it has been killed.
+struct test_entry {
+    test_entry(test_world& world, const std::string& name, std::int64_t incarnation);
+
+    // Runs `action`; false if the entry was killed during it.
+    template <typename Function>
+    bool survives(Function action)
+    {
+        try {
+            action();
+            return !connection.dead;
+        }
+        catch (const killed&) {
+            return false;
+        }
+    }
+    // Renews the lease, keeps the member record and does one round of work.
+    void step();
+
+    test_world& world;
+    records::member_record member;
+    faulty_store connection;
+    store::process_lease lease;
+    fake_cluster cluster;
+    fake_engine engine;
+    metrics counters;
+    std::int64_t registered_epoch = 0;
+    std::unique_ptr<durable_service> durable;
+};
+
+class test_world {
+public:
+    test_world()
+    {
+        auto set = std::make_shared<objects::object_set>();
+        objects::service rounds;
+        rounds.name = "rounds";
+        rounds.pool = "rounds";
+        rounds.max_backlog = 10000;
+        set->services = {rounds};
+        configuration = set;
+    }
+
+    test_entry& start(const std::string& name)
+    {
+        entries[name] = std::make_unique<test_entry>(*this, name, ++incarnations);
+        entries[name]->step();
+        return *entries[name];
+    }
+    // Ends the process at once; its lease expires later.
+    void kill(const std::string& name)
+    {
+        entries[name]->connection.dead = true;
+        entries.erase(name);
+    }
+    void step_all()
+    {
+        for (const auto& name : names()) {
+            const auto found = entries.find(name);
+            if (found != entries.end() &&
+                !found->second->survives([&] { found->second->step(); })) {
+                kill(name);
+            }
+        }
+    }
+    // Lets `time` pass in small steps, in which every entry works.
+    void run(std::chrono::milliseconds time)
+    {
+        constexpr std::chrono::milliseconds step{250};
+        for (auto passed = step; passed <= time; passed += step) {
+            clock.advance(step);
+            step_all();
+        }
+    }
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> list;
+        for (const auto& [name, entry] : entries) {
+            list.push_back(name);
+        }
+        return list;
+    }
+    std::vector<cluster::member_status> members() const
+    {
+        std::vector<cluster::member_status> list;
+        for (const auto& [name, entry] : entries) {
+            cluster::member_status status;
+            status.member = entry->member;
+            status.alive = paused.count(name) == 0;
+            status.store_reachable = true;
+            list.push_back(status);
+        }
+        return list;
+    }
+    call make_call(const std::string& id, bool idempotent = false) const
+    {
+        call call;
+        call.id = id;
+        call.idempotency_key = id;
+        call.service = "rounds";
+        call.team = "planners";
+        call.idempotent = idempotent;
+        call.body = "body of " + id;
+        call.content_type = "text/plain";
+        call.deadline = clock.steady_now() + std::chrono::seconds(10);
+        call.configuration = configuration;
+        return call;
+    }
+    // Reads a record directly; an absent one has an empty id.
+    records::request_record stored(const std::string& id)
+    {
+        const auto found = store.range({records::requests_prefix + id, "", 0}, {});
+        if (!found || found->items.empty()) {
+            return {};
+        }
+        return records::parse_request(found->items[0].value).value_or(records::request_record{});
+    }
+    std::size_t queued()
+    {
+        const auto found = store.range({records::deferred_prefix, "/jl/deferred0", 0}, {});
+        return found ? found->items.size() : 0;
+    }
+
+    manual_clock clock;
+    standins::memory_store store{clock};
+    objects::object_set_ptr configuration;
+    run_ledger ledger;
+    std::set<std::string> paused; // entries that the others do not hear of
+    std::int64_t incarnations = 1;
+    std::map<std::string, std::unique_ptr<test_entry>> entries;
+};
+
+inline test_entry::test_entry(test_world& world, const std::string& name, std::int64_t incarnation)
+    : world(world),
+      member{name, incarnation, "a", "127.0.0.1:1", "127.0.0.1:2"},
+      connection(world.store),
+      lease(connection, world.clock, name, std::chrono::seconds(5)),
+      cluster(name),
+      engine(world.ledger, connection)
+{
+    cluster.set = world.configuration;
+    cluster.list_members = [&world] { return world.members(); };
+    cluster.notify = [&world](const std::string& service) {
+        for (const auto& [other, entry] : world.entries) {
+            if (entry->cluster.notice_handler) {
+                entry->cluster.notice_handler(service);
+            }
+        }
+    };
+    durable_options options;
+    options.background = false;
+    options.seed = 7;
+    durable =
+        make_durable_requests(connection, lease, cluster, engine, world.clock, counters, options);
+}
+
+inline void test_entry::step()
+{
+    lease.renew();
+    if (lease.epoch() != registered_epoch && lease.valid()) {
+        const auto put = store::put(records::members_prefix + member.member,
+                                    records::to_json(member), lease.id());
+        if (connection.commit({{}, {put}, {}}, {})) {
+            registered_epoch = lease.epoch();
+        }
+    }
+    durable->step();
+}
+
+} // namespace jl::requests::testing
--- a/src/requests/types.h
+++ b/src/requests/types.h
@@ -25,6 +25,8 @@
     bool idempotent = false;
     std::string idempotency_key; // empty: none
     steady_time deadline;
+    // Deferred requests: not started later than this after acceptance; 0: the longest time.
+    std::chrono::milliseconds expires_after{};
     std::string content_type;
     std::string body;
     objects::object_set_ptr configuration;
--- a/src/store/etcd_codec.cpp
+++ b/src/store/etcd_codec.cpp
@@ -1,5 +1,6 @@
 #include "store/etcd_codec.h"
 
+#include <algorithm>
 #include <sstream>
 #include <stdexcept>
 
@@ -143,6 +144,8 @@
         }
     }
     result.more = object.value("more", false);
+    const auto read = static_cast<std::int64_t>(result.items.size());
+    result.count = std::max(decode_integer(object, "count"), read);
     return result;
 }
 
--- a/src/store/key_value_store.h
+++ b/src/store/key_value_store.h
@@ -44,6 +44,7 @@
     std::int64_t revision = 0;
     std::vector<key_value> items;
     bool more = false;
+    std::int64_t count = 0; // keys in the range, also beyond the limit
 };
 
 // A condition of a transaction: the revision of `key` equals `revision` (0: the key is absent).
--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -140,9 +140,10 @@
         if (!in_range(at->first, key, range_end)) {
             break;
         }
+        ++result.count;
         if (limit > 0 && static_cast<std::int64_t>(result.items.size()) == limit) {
             result.more = true;
-            break;
+            continue;
         }
         result.items.push_back(at->second);
     }
