--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -166,10 +166,11 @@
 // unit of flow for each VM. Costs are convex in the number of VMs, so the result is optimal.
 class offline_optimum {
 public:
-    explicit offline_optimum(const scenario& scenario) : scenario_(scenario)
+    explicit offline_optimum(const scenario& scenario)
+        : scenario_(scenario),
+          source_(node(0, trace_seconds + transit_seconds + 1)),
+          sink_(source_ + 1)
     {
-        source_ = node(0, trace_seconds + transit_seconds + 1);
-        sink_ = source_ + 1;
         first_.resize(static_cast<std::size_t>(sink_) + 1, -1);
         build();
     }
@@ -338,8 +339,8 @@
     }
 
     const scenario& scenario_;
-    int source_ = 0;
-    int sink_ = 0;
+    int source_;
+    int sink_;
     std::vector<int> first_;
     std::vector<arc> arcs_;
 };
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -11,8 +11,8 @@
 
 using decisions::step_kind;
 
-// A transaction has one compare for each step and one for the fence; etcd allows 128.
-constexpr std::size_t max_steps_per_transaction = 60;
+// A write has one compare and at most two operations, and etcd allows 128 of each.
+constexpr std::size_t max_writes_per_transaction = 60;
 // The VM list lags behind, so a command that it does not show yet is repeated after this time.
 constexpr std::chrono::seconds command_repeat{3};
 
@@ -120,6 +120,7 @@
     if (!current) {
         loaded_token_ = 0;
         vms_.clear();
+        tasks_.clear();
         waves_.clear();
         operator_drains_.clear();
         leased_members_.clear();
@@ -151,7 +152,10 @@
     const auto name_after = [&](const char* prefix) {
         return key.substr(std::string(prefix).size());
     };
-    if (starts_with(key, records::vms_prefix)) {
+    if (starts_with(key, records::tasks_prefix)) {
+        tasks_.apply(name_after(records::tasks_prefix), event);
+    }
+    else if (starts_with(key, records::vms_prefix)) {
         apply_vm(name_after(records::vms_prefix), event);
     }
     else if (starts_with(key, records::waves_prefix)) {
@@ -212,21 +216,26 @@
     const bool draining = std::any_of(vms_.begin(), vms_.end(), [](const auto& item) {
         return item.second.record.phase == records::vm_phase::leaving;
     });
-    tasks_on_vm_.clear();
-    if (!draining) {
+    tasks_on_vm_ = tasks_.on_vms();
+    reports_current_ = false;
+    if (!draining && tasks_.empty()) {
         return true;
     }
     const auto reports = platform_.workers->reports(listed_at + options_.platform_timeout);
     if (!reports) {
         return false;
     }
+    reports_current_ = true;
+    tasks_.observe(*reports);
     for (const auto& worker : *reports) {
+        int running = 0;
         for (const auto& task : worker.tasks) {
-            if (task.state == platform::task_state::running ||
-                task.state == platform::task_state::throttled) {
-                ++tasks_on_vm_[worker.vm];
-            }
+            running += task.state == platform::task_state::running ||
+                               task.state == platform::task_state::throttled
+                           ? 1
+                           : 0;
         }
+        tasks_on_vm_[worker.vm] = std::max(tasks_on_vm_[worker.vm], running);
     }
     return true;
 }
@@ -351,78 +360,135 @@
     }
 }
 
-bool planner::commit_batch(const std::vector<decisions::vm_step>& steps, std::size_t first,
-                           std::size_t last, std::int64_t token)
+bool planner::commit(const std::vector<record_write>& writes, std::int64_t token,
+                     const std::function<void(std::size_t, std::int64_t)>& committed)
 {
-    store::transaction transaction;
-    transaction.compares.push_back(store::process_lease::fence(planner_role, token));
-    std::vector<records::vm_record> written;
-    for (auto index = first; index < last; ++index) {
-        const auto& step = steps[index];
-        auto record = step.next;
-        record.write_id = new_id();
-        const auto key = records::vms_prefix + record.vm;
-        transaction.compares.push_back(step.expected_revision == 0
-                                           ? store::key_absent(key)
-                                           : store::unchanged_since(key, step.expected_revision));
-        transaction.on_success.push_back(step.kind == step_kind::forget
-                                             ? store::remove(key)
-                                             : store::put(key, records::to_json(record)));
-        if (step.ends_operator_drain) {
-            transaction.on_success.push_back(
-                store::remove(records::operator_drains_prefix + record.vm));
+    for (std::size_t first = 0; first < writes.size(); first += max_writes_per_transaction) {
+        const auto last = std::min(writes.size(), first + max_writes_per_transaction);
+        store::transaction transaction;
+        transaction.compares.push_back(store::process_lease::fence(planner_role, token));
+        for (auto index = first; index < last; ++index) {
+            const auto& write = writes[index];
+            transaction.compares.push_back(
+                write.expected_revision == 0
+                    ? store::key_absent(write.key)
+                    : store::unchanged_since(write.key, write.expected_revision));
+            transaction.on_success.push_back(write.value.empty()
+                                                 ? store::remove(write.key)
+                                                 : store::put(write.key, write.value));
+            if (!write.also_removed.empty()) {
+                transaction.on_success.push_back(store::remove(write.also_removed));
+            }
         }
-        written.push_back(std::move(record));
-    }
-    const auto result = store_.commit(transaction, clock_.steady_now() + options_.store_timeout);
-    if (!result) {
-        const auto& error = store::last_error();
-        if (outcome_unknown(error)) {
-            tainted_token_ = token;
+        if (!lease_.valid()) {
+            return false;
+        }
+        const auto result =
+            store_.commit(transaction, clock_.steady_now() + options_.store_timeout);
+        if (!result || !result->succeeded) {
+            loaded_token_ = 0;
+            if (!result && outcome_unknown(store::last_error())) {
+                tainted_token_ = token;
+            }
+            // A conflict: either the role is gone or a record was changed by someone else.
+            log_event(log_level::warning, "planner_write_failed",
+                      {{"reason", result ? "conflict" : store::last_error().message}});
+            return false;
+        }
+        for (auto index = first; index < last; ++index) {
+            committed(index, result->revision);
         }
-        loaded_token_ = 0;
-        log_event(log_level::warning, "planner_write_failed", {{"reason", error.message}});
-        return false;
     }
-    if (!result->succeeded) {
-        // Either the role is gone or a record was changed by someone else.
-        loaded_token_ = 0;
-        log_event(log_level::warning, "planner_write_conflict");
-        return false;
+    return true;
+}
+
+void planner::apply_step(const decisions::vm_step& step, const records::vm_record& record,
+                         std::int64_t revision)
+{
+    metrics_.count("jl_planner_steps_total", "Steps of VM records by kind",
+                   {{"kind", to_text(step.kind)}});
+    log_event(log_level::info, "vm_step",
+              {{"vm", record.vm},
+               {"step", to_text(step.kind)},
+               {"pool", record.pool},
+               {"phase", to_text(record.phase)},
+               {"reason", record.reason}});
+    if (step.kind == step_kind::forget) {
+        vms_.erase(record.vm);
+        last_listed_.erase(record.vm);
+        return;
     }
-    for (auto index = first; index < last; ++index) {
-        const auto& step = steps[index];
-        const auto& record = written[index - first];
-        metrics_.count("jl_planner_steps_total", "Steps of VM records by kind",
-                       {{"kind", to_text(step.kind)}});
-        log_event(log_level::info, "vm_step",
-                  {{"vm", record.vm},
-                   {"step", to_text(step.kind)},
-                   {"pool", record.pool},
-                   {"phase", to_text(record.phase)},
-                   {"reason", record.reason}});
-        if (step.kind == step_kind::forget) {
-            vms_.erase(record.vm);
-            last_listed_.erase(record.vm);
-            continue;
+    vms_[record.vm] = {record, revision};
+    if (step.ends_operator_drain) {
+        operator_drains_.erase(record.vm);
+    }
+}
+
+bool planner::commit_steps(const std::vector<decisions::vm_step>& steps, std::int64_t token)
+{
+    std::vector<record_write> writes;
+    std::vector<records::vm_record> written;
+    for (const auto& step : steps) {
+        auto record = step.next;
+        record.write_id = new_id();
+        record_write write;
+        write.key = records::vms_prefix + record.vm;
+        write.expected_revision = step.expected_revision;
+        if (step.kind != step_kind::forget) {
+            write.value = records::to_json(record);
         }
-        vms_[record.vm] = {record, result->revision};
         if (step.ends_operator_drain) {
-            operator_drains_.erase(record.vm);
+            write.also_removed = records::operator_drains_prefix + record.vm;
         }
+        writes.push_back(std::move(write));
+        written.push_back(std::move(record));
     }
-    return true;
+    return commit(writes, token, [&](std::size_t index, std::int64_t revision) {
+        apply_step(steps[index], written[index], revision);
+    });
 }
 
-bool planner::commit_steps(const std::vector<decisions::vm_step>& steps, std::int64_t token)
+bool planner::place_tasks(const decisions::fleet_snapshot& snapshot, decisions::fleet_plan& plan,
+                          std::int64_t token)
 {
-    for (std::size_t first = 0; first < steps.size(); first += max_steps_per_transaction) {
-        const auto last = std::min(steps.size(), first + max_steps_per_transaction);
-        if (!lease_.valid() || !commit_batch(steps, first, last, token)) {
-            return false;
+    if (tasks_.empty() || !snapshot.platform_current) {
+        return true;
+    }
+    std::map<std::string, const platform::listed_vm*> listed;
+    for (const auto& vm : listed_) {
+        listed[vm.vm] = &vm;
+    }
+    decisions::placement_snapshot placement;
+    placement.configuration = snapshot.configuration;
+    placement.now = snapshot.now;
+    placement.reports_current = reports_current_;
+    for (const auto& vm : snapshot.vms) {
+        decisions::worker_view worker;
+        worker.vm = vm.record.vm;
+        worker.pool = vm.record.pool;
+        worker.rack = vm.rack;
+        worker.boot_id = vm.boot_id;
+        worker.listed = vm.listed;
+        // The record in the cache already shows a drain that was started in this round.
+        const auto stored = vms_.find(vm.record.vm);
+        worker.accepts_tasks = vm.available() && stored != vms_.end() &&
+                               stored->second.record.phase == records::vm_phase::in_service;
+        const auto found = listed.find(vm.record.vm);
+        if (found != listed.end()) {
+            worker.cores = found->second->resources.cores;
+            worker.memory_gb = found->second->resources.memory_gb;
+            worker.accelerators = found->second->resources.accelerators;
         }
+        placement.workers.push_back(std::move(worker));
     }
-    return true;
+    const auto planned = tasks_.plan(std::move(placement), options_.placement);
+    for (const auto& problem : planned.problems) {
+        plan.problems.push_back({problem.task, problem.kind, problem.message});
+    }
+    const auto writes = task_manager::prepare(planned.steps);
+    return commit(writes, token, [&](std::size_t index, std::int64_t revision) {
+        tasks_.committed(planned.steps[index], revision);
+    });
 }
 
 bool planner::send(const decisions::vm_command& command)
@@ -531,8 +597,14 @@
     decisions::plan_moves(snapshot, options_.limits, options_.capacity, outlooks_, ledger, plan);
     decisions::plan_maintenance(snapshot, options_.limits, ledger, plan);
     report.steps = static_cast<int>(plan.steps.size());
-    const bool committed = commit_steps(plan.steps, *token);
+    const bool committed = commit_steps(plan.steps, *token) && place_tasks(snapshot, plan, *token);
     report.commands = send_commands(snapshot);
+    report.commands += tasks_.send_commands(
+        *platform_.workers, options_.placement, clock_,
+        [&](steady_time started) {
+            return lease_.valid() && clock_.steady_now() - started < options_.command_time;
+        },
+        options_.platform_timeout);
     report.problems = std::move(plan.problems);
     report.waves = decisions::describe_waves(snapshot);
     report.outcome = committed ? round_outcome::done : round_outcome::lost_writes;
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "decisions/waves.h"
 #include "fleet/member_tracker.h"
 #include "fleet/record_feed.h"
+#include "fleet/task_manager.h"
 #include "platform/platform.h"
 #include "store/role.h"
 
@@ -25,6 +27,7 @@
 struct planner_options {
     decisions::planning_limits limits;
     decisions::capacity_options capacity;
+    decisions::placement_options placement;
     std::chrono::milliseconds store_timeout{1000};
     std::chrono::milliseconds platform_timeout{1000};
     // Time that one round may spend on sending commands; the rest is sent in the next round.
@@ -88,8 +91,14 @@
     void observe_demand(const objects::object_set& configuration, std::chrono::milliseconds now);
     void create_records(const decisions::fleet_snapshot& snapshot, decisions::fleet_plan& plan);
     bool commit_steps(const std::vector<decisions::vm_step>& steps, std::int64_t token);
-    bool commit_batch(const std::vector<decisions::vm_step>& steps, std::size_t first,
-                      std::size_t last, std::int64_t token);
+    void apply_step(const decisions::vm_step& step, const records::vm_record& record,
+                    std::int64_t revision);
+    bool place_tasks(const decisions::fleet_snapshot& snapshot, decisions::fleet_plan& plan,
+                     std::int64_t token);
+    // Commits the writes in fenced transactions; `committed` is called for each with its index
+    // and the new revision.
+    bool commit(const std::vector<record_write>& writes, std::int64_t token,
+                const std::function<void(std::size_t, std::int64_t)>& committed);
     int send_commands(decisions::fleet_snapshot& snapshot);
     bool send(const decisions::vm_command& command);
     void publish(const round_report& report);
@@ -125,6 +134,8 @@
 
     std::vector<platform::listed_vm> listed_;
     std::map<std::string, int> tasks_on_vm_;
+    bool reports_current_ = false;
+    task_manager tasks_;
     std::map<std::string, steady_time> last_listed_;
     std::map<std::string, steady_time> command_sent_;
     std::map<std::string, std::string> reported_; // problems already logged, by subject and kind
--- a/src/fleet/planner_test.cpp
+++ b/src/fleet/planner_test.cpp
@@ -269,5 +269,32 @@
     }
 }
 
+// Guards against a drain that cuts a task: it is checkpointed, stopped and started elsewhere, and
+// the VM is rebooted only afterwards.
+TEST(planner, tasks_leave_a_vm_before_its_reboot)
+{
+    fleet_fixture fleet;
+    fleet.observer.set = small_configuration();
+    records::task_record task;
+    task.task = "t1";
+    task.team = "planning";
+    task.pool = "a";
+    task.kind = "match";
+    task.cores = 4;
+    task.memory_gb = 8;
+    fleet.put(std::string(records::tasks_prefix) + "t1", records::to_json(task));
+    EXPECT_EQ(fleet.run_wave(0, 200), 8);
+    const auto& starts = fleet.machines.task_starts;
+    ASSERT_GE(starts.size(), 2U);
+    EXPECT_NE(starts[0].second, starts[1].second);
+    const auto stored = fleet.store.range({std::string(records::tasks_prefix) + "t1", "", 0}, {});
+    const auto record = records::parse_task(stored->items.at(0).value);
+    EXPECT_EQ(record->fencing_token, static_cast<std::int64_t>(starts.size()));
+    EXPECT_NE(record->checkpoint.find("checkpoint of t1"), std::string::npos);
+    for (const auto& [vm, machine] : fleet.machines.machines) {
+        EXPECT_EQ(machine.reboots.size(), 1U) << vm;
+    }
+}
+
 } // namespace
 } // namespace jl::fleet
