--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -92,6 +92,7 @@
     for (int round = 0; round < 10; ++round) {
         const auto token = "key-" + std::to_string(round);
         std::vector<std::thread> callers;
+        callers.reserve(3);
         for (int entry = 0; entry < 3; ++entry) {
             callers.emplace_back([&, entry] {
                 deployment.call(entry, "rounds", with(urgent, "Idempotency-Key", token),
