Add admission, slot shares and target choice as pure functions

Weighted max-min fair queueing over classes and teams, a bound on slots held by long-running work, quotas, displacement of the longest queue, slot shares among entries, outlier ejection, retry budget and a latency-based limit. The call engine uses them in place of one FIFO queue.

--- a/src/callers/caller_api.cpp
+++ b/src/callers/caller_api.cpp
@@ -224,6 +224,11 @@
         if (result.retry_after.count() > 0) {
             answer.headers["Retry-After"] = seconds_rounded_up(result.retry_after);
         }
+        if (result.error_code == "queue_full" || result.error_code == "displaced") {
+            // Each open connection holds a thread, so callers of a flooding team must queue for a
+            // new connection behind other callers.
+            answer.headers["Connection"] = "close";
+        }
     }
     answer.headers["Jl-Request-Id"] = call.id;
     answer.headers["Jl-Outcome"] = requests::to_text(result.result);
--- /dev/null
+++ b/src/decisions/admission_queue_test.cpp
@@ -0,0 +1,303 @@
+#include <algorithm>
+#include <queue>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "decisions/admission_queue.h"
+
+namespace jl::decisions {
+namespace {
+
+using namespace std::chrono_literals;
+using milliseconds = std::chrono::milliseconds;
+
+// Calls of one kind that arrive at a fixed period.
+struct source {
+    std::string team;
+    work_class priority = work_class::normal;
+    milliseconds period{};
+    milliseconds service_time{};
+    milliseconds starts_at{};
+};
+
+struct source_result {
+    double slot_seconds = 0; // within the measured part of the run
+    milliseconds longest_wait{};
+    int started = 0;
+    int refused = 0;
+};
+
+// Runs sources against one queue with simulated time.
+class simulation {
+public:
+    explicit simulation(int slots, int max_waiting = 1000) : queue({max_waiting}), slots_(slots)
+    {
+        queue.set_capacity(slots);
+    }
+
+    std::vector<source_result> run(const std::vector<source>& sources, milliseconds length,
+                                   milliseconds measured_from = 0ms)
+    {
+        std::vector<source_result> results(sources.size());
+        const auto later = [](const auto& left, const auto& right) { return left.at > right.at; };
+        std::priority_queue<event, std::vector<event>, decltype(later)> events(later);
+        for (std::size_t i = 0; i < sources.size(); ++i) {
+            events.push({sources[i].starts_at, i, std::nullopt});
+        }
+        std::map<ticket, std::pair<std::size_t, milliseconds>> arrived;
+        ticket next_ticket = 1;
+        while (!events.empty() && events.top().at < length) {
+            const auto current = events.top();
+            events.pop();
+            const auto now = time(current.at);
+            if (current.ended) {
+                queue.finish(*current.ended, now);
+            }
+            else {
+                const auto& source = sources[current.source];
+                const auto id = next_ticket++;
+                const auto result =
+                    queue.enqueue({id, source.priority, source.team, time(length * 2)}, now);
+                if (result.accepted) {
+                    arrived[id] = {current.source, current.at};
+                }
+                else {
+                    ++results[current.source].refused;
+                }
+                if (result.displaced) {
+                    ++results[arrived[*result.displaced].first].refused;
+                }
+                events.push({current.at + source.period, current.source, std::nullopt});
+            }
+            while (queue.running() < slots_) {
+                const auto id = queue.start_next(now);
+                if (!id) {
+                    break;
+                }
+                const auto [index, at] = arrived[*id];
+                auto& result = results[index];
+                const auto end = current.at + sources[index].service_time;
+                ++result.started;
+                result.longest_wait = std::max(result.longest_wait, current.at - at);
+                result.slot_seconds +=
+                    std::chrono::duration<double>(std::max(std::min(end, length), measured_from) -
+                                                  std::max(current.at, measured_from))
+                        .count();
+                events.push({end, index, *id});
+            }
+        }
+        return results;
+    }
+
+    admission_queue queue;
+
+private:
+    struct event {
+        milliseconds at;
+        std::size_t source;
+        std::optional<ticket> ended;
+    };
+    static steady_time time(milliseconds since_start) { return steady_time(1h) + since_start; }
+
+    int slots_;
+};
+
+// Guards against a flooding team that takes slots from the other teams of its class.
+TEST(admission_queue, keeps_the_fair_share_of_other_teams_during_a_flood)
+{
+    simulation test(12);
+    // Demands of 3 and 2 slots are below a third of 12; the flood offers 100 slots.
+    const auto results = test.run({{"flood", work_class::normal, 1ms, 100ms},
+                                   {"a", work_class::normal, 10ms, 30ms},
+                                   {"b", work_class::normal, 20ms, 40ms}},
+                                  20s, 2s);
+    EXPECT_GE(results[1].slot_seconds, 0.98 * 3 * 18);
+    EXPECT_GE(results[2].slot_seconds, 0.98 * 2 * 18);
+    // The flood gets what is left, so the slots are not kept idle.
+    EXPECT_GE(results[0].slot_seconds, 0.98 * 7 * 18);
+    EXPECT_EQ(results[1].refused + results[2].refused, 0);
+}
+
+// Guards against shares that ignore weights when every team has more work than its share.
+TEST(admission_queue, divides_slots_by_weight_when_all_teams_are_backlogged)
+{
+    simulation test(8);
+    test.queue.set_team("heavy", {3, std::nullopt});
+    const auto results = test.run(
+        {{"heavy", work_class::normal, 5ms, 100ms}, {"light", work_class::normal, 5ms, 50ms}}, 30s,
+        5s);
+    EXPECT_NEAR(results[0].slot_seconds / results[1].slot_seconds, 3, 0.15);
+}
+
+// Guards against urgent work that starves deferred work, and the other way round.
+TEST(admission_queue, guarantees_every_class_its_share)
+{
+    simulation test(10);
+    const auto results = test.run({{"t", work_class::urgent, 5ms, 100ms},
+                                   {"t", work_class::normal, 5ms, 100ms},
+                                   {"t", work_class::deferred, 5ms, 100ms}},
+                                  30s, 5s);
+    EXPECT_NEAR(results[0].slot_seconds, 6 * 25, 6);
+    EXPECT_NEAR(results[1].slot_seconds, 3 * 25, 4);
+    EXPECT_NEAR(results[2].slot_seconds, 1 * 25, 3);
+}
+
+// Guards against slots that stay idle although only one class has work.
+TEST(admission_queue, gives_unused_shares_to_other_classes)
+{
+    simulation test(10);
+    const auto results = test.run({{"t", work_class::deferred, 5ms, 100ms}}, 20s, 2s);
+    EXPECT_GE(results[0].slot_seconds, 0.98 * 10 * 18);
+}
+
+// Guards against short work that waits behind a flood of long calls (head-of-line blocking).
+TEST(admission_queue, keeps_slots_free_of_long_running_work)
+{
+    simulation test(8);
+    const auto results = test.run({{"batch", work_class::normal, 200ms, 30s},
+                                   {"quick", work_class::normal, 100ms, 50ms, 20s}},
+                                  60s);
+    EXPECT_LE(results[1].longest_wait, 1s);
+    EXPECT_EQ(results[1].refused, 0);
+}
+
+// Guards against urgent work within its quota that starts later than promised in a flood of any
+// class, with long or short calls.
+TEST(admission_queue, starts_urgent_work_in_time_during_every_flood)
+{
+    for (const auto flood_class : {work_class::urgent, work_class::normal, work_class::deferred}) {
+        for (const auto flood_time : {20ms, 500ms, 5000ms, 30000ms}) {
+            simulation test(9, 300);
+            test.queue.set_team("crew", {1, 4});
+            const auto results = test.run({{"flood", flood_class, 2ms, flood_time},
+                                           {"crew", work_class::urgent, 100ms, 200ms, 31s}},
+                                          120s);
+            EXPECT_LE(results[1].longest_wait, 4400ms)
+                << "class " << static_cast<int>(flood_class) << ", calls of " << flood_time.count()
+                << " ms";
+            EXPECT_EQ(results[1].refused, 0);
+        }
+    }
+}
+
+// Guards against a team that exceeds its quota.
+TEST(admission_queue, holds_teams_to_their_quota)
+{
+    admission_queue queue;
+    queue.set_capacity(10);
+    queue.set_team("t", {1, 3});
+    const steady_time now(1h);
+    for (ticket id = 1; id <= 10; ++id) {
+        queue.enqueue({id, id % 2 == 0 ? work_class::urgent : work_class::normal, "t", now + 1h},
+                      now);
+    }
+    int started = 0;
+    while (queue.start_next(now)) {
+        ++started;
+    }
+    EXPECT_LE(started, 3);
+}
+
+// Guards against a full queue that turns away teams that have hardly any calls waiting.
+TEST(admission_queue, displaces_the_newest_call_of_the_longest_queue)
+{
+    admission_queue queue({4});
+    const steady_time now(1h);
+    for (ticket id = 1; id <= 4; ++id) {
+        EXPECT_TRUE(queue.enqueue({id, work_class::normal, "flood", now + 1h}, now).accepted);
+    }
+    EXPECT_FALSE(queue.enqueue({5, work_class::normal, "flood", now + 1h}, now).accepted);
+    const auto result = queue.enqueue({6, work_class::normal, "quiet", now + 1h}, now);
+    EXPECT_TRUE(result.accepted);
+    EXPECT_EQ(result.displaced, 4U);
+    EXPECT_EQ(queue.waiting(), 4);
+}
+
+// Guards against starting work nobody waits for any more.
+TEST(admission_queue, never_starts_expired_work)
+{
+    admission_queue queue;
+    queue.set_capacity(4);
+    const steady_time now(1h);
+    queue.enqueue({1, work_class::normal, "t", now + 10ms}, now);
+    queue.enqueue({2, work_class::normal, "t", now + 10s}, now);
+    EXPECT_EQ(queue.start_next(now + 10ms), 2U);
+    EXPECT_EQ(queue.start_next(now + 10ms), std::nullopt);
+    EXPECT_TRUE(queue.remove(1));
+    EXPECT_FALSE(queue.remove(1));
+    EXPECT_EQ(queue.waiting(), 0);
+}
+
+// Guards against a deferred queue that never gets a slot while other classes are flooded, and
+// against one that takes more than its share then.
+TEST(admission_queue, has_room_for_deferred_work_up_to_its_share)
+{
+    admission_queue queue;
+    queue.set_capacity(10);
+    const steady_time now(1h);
+    EXPECT_TRUE(queue.has_room_for_deferred(true));
+    for (ticket id = 1; id <= 20; ++id) {
+        queue.enqueue({id, work_class::normal, "flood", now + 1h}, now);
+    }
+    EXPECT_TRUE(queue.has_room_for_deferred(false));
+    queue.enqueue({21, work_class::deferred, "t", now + 1h}, now);
+    EXPECT_FALSE(queue.has_room_for_deferred(false));
+}
+
+// Guards against lost or duplicated calls and wrong counts in any order of operations.
+RC_GTEST_PROP(admission_queue, every_call_ends_exactly_once, ())
+{
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+    admission_queue queue({20});
+    queue.set_capacity(5);
+    queue.set_team("team0", {2, 2});
+    steady_time now(1h);
+    std::vector<ticket> waiting;
+    std::vector<ticket> running;
+    ticket next = 1;
+    const auto drop = [](std::vector<ticket>& list, ticket id) {
+        const auto found = std::find(list.begin(), list.end(), id);
+        RC_ASSERT(found != list.end());
+        list.erase(found);
+    };
+    for (const int step : steps) {
+        now += milliseconds(step);
+        if (step % 4 < 2) {
+            const auto id = next++;
+            const auto result = queue.enqueue({id, static_cast<work_class>(step % 3),
+                                               "team" + std::to_string(step % 5),
+                                               now + milliseconds(step * 5), step % 7 == 0},
+                                              now);
+            if (result.accepted) {
+                waiting.push_back(id);
+            }
+            if (result.displaced) {
+                drop(waiting, *result.displaced);
+            }
+        }
+        else if (step % 4 == 2) {
+            if (const auto id = queue.start_next(now)) {
+                drop(waiting, *id);
+                running.push_back(*id);
+            }
+        }
+        else if (!running.empty()) {
+            const auto id = running[static_cast<std::size_t>(step) % running.size()];
+            queue.finish(id, now);
+            drop(running, id);
+        }
+        else if (!waiting.empty()) {
+            RC_ASSERT(queue.remove(waiting.front()));
+            waiting.erase(waiting.begin());
+        }
+        RC_ASSERT(queue.waiting() == static_cast<int>(waiting.size()));
+        RC_ASSERT(queue.waiting() <= 20);
+        RC_ASSERT(queue.running() == static_cast<int>(running.size()));
+        RC_ASSERT(queue.running("team0") <= 2);
+    }
+}
+
+} // namespace
+} // namespace jl::decisions
--- /dev/null
+++ b/src/decisions/slot_shares.cpp
@@ -0,0 +1,192 @@
+#include "decisions/slot_shares.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+
+#include "base/ids.h"
+
+namespace jl::decisions {
+
+namespace {
+
+constexpr double floor_part = 0.5; // of an equal share
+
+// Raises every share to a common level, each at most to its bound, until `rest` is used up.
+// Returns what is left.
+double fill_to_bounds(std::vector<double>& shares, const std::vector<double>& bounds, double rest)
+{
+    std::vector<std::size_t> open(shares.size());
+    std::iota(open.begin(), open.end(), 0U);
+    open.erase(std::remove_if(open.begin(), open.end(),
+                              [&](std::size_t i) { return bounds[i] <= shares[i]; }),
+               open.end());
+    while (!open.empty() && rest > 1e-9) {
+        // The lowest share rises to the next share or bound above it.
+        const double level = shares[*std::min_element(
+            open.begin(), open.end(),
+            [&](std::size_t left, std::size_t right) { return shares[left] < shares[right]; })];
+        std::vector<std::size_t> lowest;
+        double next = std::numeric_limits<double>::infinity();
+        for (const auto i : open) {
+            if (shares[i] <= level + 1e-12) {
+                lowest.push_back(i);
+                next = std::min(next, bounds[i]);
+            }
+            else {
+                next = std::min(next, shares[i]);
+            }
+        }
+        const double step = std::min(next - level, rest / static_cast<double>(lowest.size()));
+        for (const auto i : lowest) {
+            shares[i] += step;
+        }
+        rest -= step * static_cast<double>(lowest.size());
+        open.erase(std::remove_if(open.begin(), open.end(),
+                                  [&](std::size_t i) { return shares[i] >= bounds[i] - 1e-12; }),
+                   open.end());
+    }
+    return std::max(rest, 0.0);
+}
+
+// Entries in the order of their rendezvous scores, which breaks all ties.
+std::vector<entry_demand> sort_by_score(const std::string& key, std::vector<entry_demand> demands)
+{
+    std::sort(demands.begin(), demands.end(), [&](const auto& left, const auto& right) {
+        const auto left_score = rendezvous_score(left.entry, key);
+        const auto right_score = rendezvous_score(right.entry, key);
+        return left_score != right_score ? left_score > right_score : left.entry < right.entry;
+    });
+    return demands;
+}
+
+} // namespace
+
+std::map<std::string, int> divide_slots(const std::string& key, int total,
+                                        const std::vector<entry_demand>& demands)
+{
+    std::map<std::string, int> result;
+    if (demands.empty() || total <= 0) {
+        return result;
+    }
+    const auto entries = sort_by_score(key, demands);
+    const auto count = entries.size();
+    const double equal = static_cast<double>(total) / static_cast<double>(count);
+    // A floor of whole slots, so that rounding cannot take it away.
+    const double lowest = equal < 1 ? 0 : std::max(1.0, std::floor(equal * floor_part));
+    std::vector<double> shares(count, lowest);
+    std::vector<double> bounds;
+    bounds.reserve(count);
+    for (const auto& entry : entries) {
+        bounds.push_back(std::clamp(entry.slots, 0.0, static_cast<double>(total)));
+    }
+    double rest = static_cast<double>(total) - lowest * static_cast<double>(count);
+    rest = fill_to_bounds(shares, bounds, rest);
+    for (auto& share : shares) {
+        share += rest / static_cast<double>(count);
+    }
+
+    std::vector<std::size_t> order(count);
+    std::iota(order.begin(), order.end(), 0U);
+    std::vector<int> slots;
+    int used = 0;
+    for (const double share : shares) {
+        slots.push_back(static_cast<int>(std::floor(share + 1e-9)));
+        used += slots.back();
+    }
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return shares[left] - slots[left] > shares[right] - slots[right] + 1e-9;
+    });
+    for (std::size_t i = 0; used < total; i = (i + 1) % count) {
+        ++slots[order[i]];
+        ++used;
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        result[entries[i].entry] = slots[i];
+    }
+    return result;
+}
+
+slot_table place_slots(const std::string& key, const std::vector<instance_slots>& instances,
+                       const std::vector<entry_demand>& demands)
+{
+    const int total =
+        std::accumulate(instances.begin(), instances.end(), 0,
+                        [](int sum, const auto& instance) { return sum + instance.slots; });
+    auto left = divide_slots(key, total, demands);
+    std::map<std::string, int> room;
+    slot_table table;
+    for (const auto& instance : instances) {
+        room[instance.vm] = instance.slots;
+        table[instance.vm];
+    }
+    const auto entries = sort_by_score(key, demands);
+    // One slot per entry and round, each on the instance where the entry has fewest slots so far.
+    for (int placed = 0; placed < total;) {
+        for (const auto& entry : entries) {
+            if (left[entry.entry] == 0) {
+                continue;
+            }
+            const std::string* best = nullptr;
+            int best_held = 0;
+            int best_room = 0;
+            std::uint64_t best_score = 0;
+            for (const auto& [vm, free] : room) {
+                if (free == 0) {
+                    continue;
+                }
+                const int held = table[vm][entry.entry];
+                const auto score = rendezvous_score(vm, entry.entry);
+                if (best == nullptr || held < best_held ||
+                    (held == best_held &&
+                     (free > best_room || (free == best_room && score > best_score)))) {
+                    best = &vm;
+                    best_held = held;
+                    best_room = free;
+                    best_score = score;
+                }
+            }
+            ++table[*best][entry.entry];
+            --room[*best];
+            --left[entry.entry];
+            ++placed;
+        }
+    }
+    return table;
+}
+
+slot_ramp::slot_ramp(std::chrono::milliseconds hold) : hold_(hold) {}
+
+void slot_ramp::update(const std::map<std::string, int>& shares, steady_time now)
+{
+    for (auto state = states_.begin(); state != states_.end();) {
+        state = shares.count(state->first) == 0 ? states_.erase(state) : std::next(state);
+    }
+    for (const auto& [vm, share] : shares) {
+        auto& state = states_[vm];
+        if (share <= state.current) {
+            state.current = share;
+            state.increasing = false;
+            continue;
+        }
+        if (!state.increasing) {
+            state.increasing = true;
+            state.pending = share;
+            state.pending_since = now;
+        }
+        state.pending = std::min(state.pending, share);
+        if (now - state.pending_since >= hold_) {
+            state.current = state.pending;
+            state.increasing = false;
+        }
+    }
+}
+
+int slot_ramp::slots(const std::string& vm) const
+{
+    const auto found = states_.find(vm);
+    return found == states_.end() ? 0 : found->second.current;
+}
+
+} // namespace jl::decisions
--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -1,15 +1,17 @@
 #include "requests/call_engine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <condition_variable>
-#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 #include "base/periodic_task.h"
+#include "requests/service_router.h"
 
 namespace jl::requests {
 
@@ -17,14 +19,22 @@
 
 // Attempts at most for one call, the first one included.
 constexpr int max_attempts = 3;
-constexpr std::chrono::milliseconds refusal_retry_after{1000};
-
-call_result refused(std::string code, std::string message)
+constexpr std::chrono::milliseconds min_retry_after{1000};
+constexpr std::chrono::milliseconds max_retry_after{30000};
+// A timeout sooner than this may be the caller's impatience, so it does not count against a target.
+constexpr std::chrono::seconds min_counted_timeout{1};
+constexpr int lowest_error_status = 500;
+// Demands are reported with headroom and rounded up to powers of two, so that small changes move
+// no slots between entries: every move leaves slots unused for two report periods.
+constexpr double demand_headroom = 1.25;
+
+call_result refused(std::string code, std::string message,
+                    std::chrono::milliseconds retry_after = min_retry_after)
 {
     call_result result;
     result.error_code = std::move(code);
     result.error_message = std::move(message);
-    result.retry_after = refusal_retry_after;
+    result.retry_after = std::clamp(retry_after, min_retry_after, max_retry_after);
     return result;
 }
 
@@ -37,30 +47,42 @@
     return result;
 }
 
-struct target_slot {
-    std::string vm;
-    endpoint address;
-};
+call_result answered(targets::target_answer answer)
+{
+    call_result result;
+    result.result = outcome::answered;
+    result.status = answer.status;
+    result.content_type = std::move(answer.content_type);
+    result.body = std::move(answer.body);
+    return result;
+}
 
-// A call that waits for a slot, on the stack of the thread that executes it.
-struct waiter {
-    explicit waiter(const call& owner) : owner(owner) {}
+double round_up_demand(const cluster::service_load& load)
+{
+    const double demand = load.waiting + load.running + load.backlog;
+    return demand <= 0 ? 0 : std::exp2(std::ceil(std::log2(demand * demand_headroom)));
+}
+
+// A call in execution, on the stack of its thread.
+struct execution {
+    explicit execution(const call& owner) : owner(owner) {}
 
     const call& owner;
-    std::set<std::string> excluded; // VMs that failed an attempt of this call
+    routed_call route;
+    bool retry = false;
     std::optional<target_slot> slot;
+    bool displaced = false;
     std::condition_variable changed;
 };
 
-struct target_state {
-    target_slot slot;
-    int limit = 0;
-};
-
 struct service_state {
-    std::vector<target_state> targets;
-    std::deque<waiter*> waiting;
-    int running = 0;
+    service_state(std::chrono::milliseconds share_hold, in_flight_counts& in_flight)
+        : router(share_hold, in_flight)
+    {
+    }
+
+    service_router router;
+    std::unordered_map<decisions::ticket, execution*> waiting;
 };
 
 class engine final : public routing_call_engine {
@@ -82,7 +104,12 @@
         metrics_.count("jl_calls_total", "Calls by outcome",
                        {{"outcome", to_text(result.result)},
                         {"class", to_text(call.priority)},
-                        {"team", call.team}});
+                        {"team", call.team},
+                        {"service", call.service}});
+        if (result.result == outcome::not_run) {
+            metrics_.count("jl_refusals_total", "Calls refused by the entry, by reason",
+                           {{"code", result.error_code}, {"class", to_text(call.priority)}});
+        }
         return result;
     }
 
@@ -93,26 +120,27 @@
         }
         const std::lock_guard lock(mutex_);
         const auto found = services_.find(service);
-        return found != services_.end() && found->second.waiting.empty() &&
-               find_free(found->second, {}) != nullptr;
+        if (found == services_.end()) {
+            return false;
+        }
+        const auto& router = found->second.router;
+        return router.queue().has_room_for_deferred(router.has_free_target(clock_.steady_now()));
     }
 
     int in_flight(const std::string& vm) const override
     {
         const std::lock_guard lock(mutex_);
-        return count_in_flight(vm);
+        const auto found = in_flight_.find(vm);
+        return found == in_flight_.end() ? 0 : found->second;
     }
 
     std::vector<cluster::service_load> loads() const override
     {
         const std::lock_guard lock(mutex_);
         std::vector<cluster::service_load> loads;
+        loads.reserve(services_.size());
         for (const auto& [name, service] : services_) {
-            cluster::service_load load;
-            load.service = name;
-            load.waiting = static_cast<int>(service.waiting.size());
-            load.running = service.running;
-            loads.push_back(std::move(load));
+            loads.push_back(service.router.load(name));
         }
         return loads;
     }
@@ -120,48 +148,40 @@
 private:
     call_result run(const call& call)
     {
+        execution self(call);
+        self.route.priority = call.priority;
+        self.route.team = call.team;
+        self.route.idempotent = call.idempotent;
         bool may_have_run = false;
-        waiter self(call);
-        call_result last = refused("no_attempt", "no attempt was made");
+        call_result last;
+        const auto arrived = clock_.steady_now();
         for (int attempt = 0; attempt < max_attempts; ++attempt) {
-            refresh_if_changed();
-            if (!state_.may_send()) {
-                last = refused("vm_view_old", "the VM view is too old to send to targets");
-                break;
-            }
-            if (auto refusal = acquire(self)) {
+            if (auto refusal = acquire_usable(self)) {
                 last = std::move(*refusal);
                 break;
             }
-            // The request is counted as in flight from here on, so a VM that becomes unusable
-            // after this check is not acknowledged with 0 before the exchange has ended.
-            if (!is_usable(self.slot->vm)) {
-                release(self);
-                continue;
+            if (attempt == 0) {
+                metrics_.observe("jl_start_seconds", "Time from arrival to start of calls",
+                                 {{"class", to_text(call.priority)}, {"team", call.team}},
+                                 clock_.steady_now() - arrived);
             }
-            auto answer = targets_.exchange(self.slot->address,
-                                            {call.service, call.id, call.content_type, call.body},
-                                            call.deadline);
-            const auto error = answer ? targets::target_error{} : targets::last_error();
-            self.excluded.insert(self.slot->vm);
-            release(self);
+            auto answer = attempt_exchange(self);
             if (answer) {
-                call_result result;
-                result.result = outcome::answered;
-                result.status = answer->status;
-                result.content_type = std::move(answer->content_type);
-                result.body = std::move(answer->body);
-                return result;
+                return answered(std::move(*answer));
             }
+            const auto& error = targets::last_error();
+            self.retry = true;
             if (error.code == targets::target_error_code::not_sent) {
                 last = refused("target_unreachable", error.message);
                 continue;
             }
             may_have_run = true;
             last = unknown("no_answer", error.message);
-            if (!call.idempotent) {
+            if (!call.idempotent || attempt + 1 == max_attempts || !try_retry(call.service)) {
                 break;
             }
+            metrics_.count("jl_retries_total", "Idempotent calls sent to a further target",
+                           {{"class", to_text(call.priority)}, {"service", call.service}});
         }
         if (may_have_run && last.result != outcome::unknown) {
             return unknown("no_answer", "an attempt ended without an answer");
@@ -169,6 +189,50 @@
         return last;
     }
 
+    // Sends the call to the target it was assigned to, and gives the slot back.
+    std::optional<targets::target_answer> attempt_exchange(execution& self)
+    {
+        const auto& call = self.owner;
+        const auto start = clock_.steady_now();
+        auto deadline = call.deadline;
+        if (self.slot->probe && call.idempotent) {
+            // Leaves time for another target, as the probed one may fail again.
+            deadline = start + time_left(deadline, start) / 2;
+        }
+        auto answer = targets_.exchange(
+            self.slot->address, {call.service, call.id, call.content_type, call.body}, deadline);
+        exchange_report report;
+        report.duration = clock_.steady_now() - start;
+        report.success = answer && answer->status < lowest_error_status;
+        report.counts = answer ||
+                        targets::last_error().code != targets::target_error_code::timed_out ||
+                        report.duration >= min_counted_timeout;
+        self.route.excluded.insert(self.slot->vm);
+        release(self, report);
+        return answer;
+    }
+
+    // Waits for a slot on a target that is still usable; returns a refusal if there is none.
+    std::optional<call_result> acquire_usable(execution& self)
+    {
+        for (;;) {
+            refresh_if_changed();
+            if (!state_.may_send()) {
+                return refused("vm_view_old", "the VM view is too old to send to targets");
+            }
+            if (auto refusal = acquire(self)) {
+                return refusal;
+            }
+            // The request is counted as in flight from here on, so a VM that becomes unusable
+            // after this check is not acknowledged with 0 before the exchange has ended.
+            if (is_usable(self.slot->vm)) {
+                return std::nullopt;
+            }
+            self.retry = true;
+            release(self, std::nullopt);
+        }
+    }
+
     bool is_usable(const std::string& vm)
     {
         refresh_if_changed();
@@ -179,85 +243,122 @@
         return usable_.count(vm) > 0;
     }
 
-    // Waits for a slot; returns a refusal if none was assigned.
-    std::optional<call_result> acquire(waiter& self)
+    std::optional<call_result> acquire(execution& self)
     {
         std::unique_lock lock(mutex_);
         const auto found = services_.find(self.owner.service);
         if (found == services_.end()) {
-            return refused("unknown_service", "no service has this name");
-        }
-        if (waiting_ >= options_.max_waiting_calls) {
-            return refused("queue_full", "too many calls are waiting");
+            return refused("unknown_service", "the service is not in the configuration in force");
         }
         auto& service = found->second;
-        self.slot.reset();
-        service.waiting.push_back(&self);
-        ++waiting_;
+        auto& queue = service.router.queue();
+        if (!self.retry) {
+            service.router.count_call();
+        }
+        const auto priority = to_work_class(self.owner.priority);
+        if (!make_room(service, priority, self.owner.team) || !enqueue(service, self)) {
+            return refused("queue_full", "too many calls of this team are waiting",
+                           queue.expected_wait(priority, self.owner.team));
+        }
         dispatch(service);
-        while (!self.slot) {
-            const auto left = time_left(self.owner.deadline, clock_.steady_now());
-            if (left == std::chrono::milliseconds::zero()) {
-                service.waiting.erase(
-                    std::find(service.waiting.begin(), service.waiting.end(), &self));
+        while (!self.slot && !self.displaced) {
+            const auto left = self.owner.deadline - clock_.steady_now();
+            if (left <= steady_time::duration::zero()) {
+                queue.remove(self.route.id);
+                service.waiting.erase(self.route.id);
                 --waiting_;
                 return refused("deadline_passed", "no slot became free before the deadline");
             }
             self.changed.wait_for(lock, left);
         }
+        if (self.displaced) {
+            // The service may have been removed from the configuration since, so it is not used.
+            return refused("displaced", "too many calls of this team are waiting");
+        }
         return std::nullopt;
     }
 
-    void release(waiter& self)
+    void release(execution& self, const std::optional<exchange_report>& report)
     {
         const std::lock_guard lock(mutex_);
-        const auto found = in_flight_.find(self.slot->vm);
-        if (--found->second == 0) {
-            in_flight_.erase(found);
-        }
-        self.slot.reset();
         auto& service = services_.at(self.owner.service);
-        --service.running;
+        service.router.release(self.route, self.slot->vm, report, clock_.steady_now());
+        self.slot.reset();
         dispatch(service);
     }
 
+    bool try_retry(const std::string& service)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = services_.find(service);
+        return found != services_.end() && found->second.router.try_retry();
+    }
+
     // The following require mutex_.
 
-    int count_in_flight(const std::string& vm) const
+    bool enqueue(service_state& service, execution& self)
     {
-        const auto found = in_flight_.find(vm);
-        return found == in_flight_.end() ? 0 : found->second;
+        self.route.id = ++last_ticket_;
+        const auto result =
+            service.router.enqueue(self.route, configuration_->find_team(self.owner.team),
+                                   self.owner.deadline, self.retry, clock_.steady_now());
+        if (result.displaced) {
+            displace(service, *result.displaced);
+        }
+        if (result.accepted) {
+            service.waiting[self.route.id] = &self;
+            ++waiting_;
+        }
+        return result.accepted;
     }
 
-    const target_state* find_free(const service_state& service,
-                                  const std::set<std::string>& excluded) const
+    // Keeps the number of waiting calls of all services within the limit, at the expense of the
+    // longest queue. False if that is the queue of the new call.
+    bool make_room(service_state& service, decisions::work_class priority, const std::string& team)
     {
-        const target_state* best = nullptr;
-        int best_count = 0;
-        for (const auto& target : service.targets) {
-            const int count = count_in_flight(target.slot.vm);
-            if (count < target.limit && excluded.count(target.slot.vm) == 0 &&
-                (best == nullptr || count < best_count)) {
-                best = &target;
-                best_count = count;
+        if (waiting_ < options_.max_waiting_calls) {
+            return true;
+        }
+        service_state* longest = nullptr;
+        for (auto& [name, candidate] : services_) {
+            if (longest == nullptr || candidate.router.queue().longest_queue() >
+                                          longest->router.queue().longest_queue()) {
+                longest = &candidate;
             }
         }
-        return best;
+        if (longest->router.queue().longest_queue() <=
+            service.router.queue().queue_length(priority, team)) {
+            return false;
+        }
+        if (const auto id = longest->router.queue().displace_longest()) {
+            displace(*longest, *id);
+        }
+        return true;
+    }
+
+    void displace(service_state& service, decisions::ticket id)
+    {
+        const auto found = service.waiting.find(id);
+        found->second->displaced = true;
+        found->second->changed.notify_one();
+        service.waiting.erase(found);
+        --waiting_;
     }
 
     void dispatch(service_state& service)
     {
-        while (!service.waiting.empty()) {
-            auto* next = service.waiting.front();
-            const auto* target = find_free(service, next->excluded);
-            if (target == nullptr) {
+        auto& queue = service.router.queue();
+        const auto now = clock_.steady_now();
+        while (queue.waiting() > 0 && service.router.has_free_target(now)) {
+            const auto id = queue.start_next(now);
+            if (!id) {
                 return;
             }
-            service.waiting.pop_front();
+            const auto found = service.waiting.find(*id);
+            auto* next = found->second;
+            next->slot = service.router.assign(next->route, now);
+            service.waiting.erase(found);
             --waiting_;
-            ++service.running;
-            ++in_flight_[target->slot.vm];
-            next->slot = target->slot;
             next->changed.notify_one();
         }
     }
@@ -278,38 +379,124 @@
     // Takes over the current configuration, VMs and members.
     void refresh()
     {
-        const auto members = state_.members();
-        const auto alive = std::count_if(members.begin(), members.end(),
-                                         [](const auto& member) { return member.alive; });
         // Refreshes run in several threads; the order of snapshots must match that of updates.
         const std::lock_guard refresh_lock(refresh_mutex_);
+        const auto members = state_.members();
+        const auto self = state_.self();
         auto vms = state_.vms();
         auto configuration = state_.configuration();
         if (!configuration) {
             return;
         }
-        const std::lock_guard lock(mutex_);
+        std::vector<endpoint> unused;
+        {
+            const std::lock_guard lock(mutex_);
+            unused = update(members, self, std::move(vms), std::move(configuration));
+        }
+        for (const auto& address : unused) {
+            targets_.forget(address);
+        }
+        report_metrics();
+    }
+
+    // Returns the addresses of VMs that are not used any more. Requires mutex_.
+    std::vector<endpoint> update(const std::vector<cluster::member_status>& members,
+                                 const std::string& self, cluster::vm_snapshot_ptr vms,
+                                 objects::object_set_ptr configuration)
+    {
+        const auto now = clock_.steady_now();
         vms_ = std::move(vms);
         configuration_ = std::move(configuration);
+        std::map<std::string, std::vector<cluster::vm_state>> by_pool;
+        auto before = std::move(usable_);
         usable_.clear();
-        for (const auto& service : configuration_->services) {
-            services_[service.name];
+        for (const auto& vm : vms_->vms) {
+            if (vm.usable()) {
+                by_pool[vm.pool].push_back(vm);
+                usable_[vm.vm] = vm.address;
+                before.erase(vm.vm);
+            }
+        }
+        for (const auto& definition : configuration_->services) {
+            auto& service =
+                services_.try_emplace(definition.name, options_.report_period * 2, in_flight_)
+                    .first->second;
+            service.router.sample_load(now);
+            service.router.set_targets(definition, by_pool[definition.pool],
+                                       collect_demands(members, self, definition.name), self, now);
+            dispatch(service);
         }
-        for (auto& [name, service] : services_) {
-            service.targets.clear();
-            const auto* definition = configuration_->find_service(name);
-            if (definition == nullptr) {
+        for (auto found = services_.begin(); found != services_.end();) {
+            auto& router = found->second.router;
+            if (configuration_->find_service(found->first) != nullptr) {
+                ++found;
+                continue;
+            }
+            router.clear_targets();
+            const bool idle = router.queue().waiting() == 0 && router.queue().running() == 0;
+            found = idle ? services_.erase(found) : std::next(found);
+        }
+        std::vector<endpoint> unused;
+        for (const auto& [vm, address] : before) {
+            if (in_flight_.count(vm) == 0) {
+                unused.push_back(address);
+            }
+        }
+        return unused;
+    }
+
+    std::vector<decisions::entry_demand>
+    collect_demands(const std::vector<cluster::member_status>& members, const std::string& self,
+                    const std::string& service) const
+    {
+        std::vector<decisions::entry_demand> demands;
+        bool listed = false;
+        for (const auto& member : members) {
+            const bool is_self = member.member.member == self;
+            if (!member.alive && !is_self) {
                 continue;
             }
-            const int limit =
-                std::max(1, definition->slots_per_instance / std::max(1, static_cast<int>(alive)));
-            for (const auto& vm : vms_->vms) {
-                if (vm.pool == definition->pool && vm.usable()) {
-                    service.targets.push_back({{vm.vm, vm.address}, limit});
-                    usable_.insert(vm.vm);
+            listed = listed || is_self;
+            decisions::entry_demand demand{member.member.member, 0};
+            for (const auto& load : member.loads) {
+                if (load.service == service) {
+                    demand.slots = round_up_demand(load);
                 }
             }
-            dispatch(service);
+            demands.push_back(std::move(demand));
+        }
+        if (!listed) {
+            demands.push_back({self, 0});
+        }
+        return demands;
+    }
+
+    void report_metrics()
+    {
+        struct service_gauge {
+            std::string name;
+            int waiting;
+            int running;
+            int slots;
+            int set_aside;
+        };
+        std::vector<service_gauge> gauges;
+        {
+            const std::lock_guard lock(mutex_);
+            gauges.reserve(services_.size());
+            for (const auto& [name, service] : services_) {
+                const auto& router = service.router;
+                gauges.push_back({name, router.queue().waiting(), router.queue().running(),
+                                  router.slots(), router.count_set_aside()});
+            }
+        }
+        for (const auto& gauge : gauges) {
+            const metric_labels labels = {{"service", gauge.name}};
+            metrics_.set("jl_waiting_calls", "Calls that wait for a slot", labels, gauge.waiting);
+            metrics_.set("jl_running_calls", "Slots in use by this entry", labels, gauge.running);
+            metrics_.set("jl_slots", "Slots this entry may use", labels, gauge.slots);
+            metrics_.set("jl_targets_set_aside", "Targets that are ejected or probed", labels,
+                         gauge.set_aside);
         }
     }
 
@@ -319,13 +506,14 @@
     metrics& metrics_;
     const call_engine_options options_;
 
-    std::mutex refresh_mutex_; // acquired before any other; held while snapshots are read
+    std::mutex refresh_mutex_; // acquired before any other; orders refreshes
     mutable std::mutex mutex_; // rank 3: admission queues
     cluster::vm_snapshot_ptr vms_;
     objects::object_set_ptr configuration_;
-    std::set<std::string> usable_;
+    std::map<std::string, endpoint> usable_;
+    in_flight_counts in_flight_;
     std::map<std::string, service_state> services_;
-    std::map<std::string, int> in_flight_; // by VM, whichever service it belongs to
+    decisions::ticket last_ticket_ = 0;
     int waiting_ = 0;
     periodic_task refresh_; // last: it uses the other members
 };
--- a/src/requests/call_engine_test.cpp
+++ b/src/requests/call_engine_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -194,6 +195,53 @@
     EXPECT_GT(test.targets.taken().size(), 1U);
 }
 
+// Guards against a service that keeps failing because its only target was unreachable once, and
+// against a waiting call that is lost when the only free target is one that it excludes.
+TEST(call_engine, uses_a_target_again_if_there_is_no_other)
+{
+    engine_under_test test(1);
+    test.targets.behavior = [&](const endpoint&) {
+        return test.targets.taken().size() == 1 ? fail(targets::target_error_code::not_sent)
+                                                : succeed();
+    };
+    EXPECT_EQ(test.engine->execute(test.make_call()).result, outcome::answered);
+}
+
+// Guards against slots used twice, lost calls and wrong counts when many threads call at once.
+TEST(call_engine, never_exceeds_the_slots_of_a_target)
+{
+    engine_under_test test(2);
+    std::array<std::atomic<int>, 2> current{};
+    std::atomic<bool> exceeded{false};
+    test.targets.behavior = [&](const endpoint& target) {
+        auto& count = current.at(target.port - 1000U);
+        if (++count > 8) {
+            exceeded = true;
+        }
+        std::this_thread::yield();
+        --count;
+        return succeed();
+    };
+    std::atomic<int> answers{0};
+    std::vector<std::thread> threads;
+    threads.reserve(40);
+    for (int i = 0; i < 40; ++i) {
+        threads.emplace_back([&] {
+            for (int j = 0; j < 50; ++j) {
+                if (test.engine->execute(test.make_call()).result == outcome::answered) {
+                    ++answers;
+                }
+            }
+        });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    EXPECT_FALSE(exceeded);
+    EXPECT_EQ(answers, 40 * 50);
+    EXPECT_EQ(test.engine->in_flight("vm0") + test.engine->in_flight("vm1"), 0);
+}
+
 // Guards against calls sent on the basis of an old VM view.
 TEST(call_engine, sends_nothing_while_the_vm_view_is_old)
 {
