--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -139,8 +139,11 @@
                 {"operation_id", record.operation_id},
                 {"reason", record.reason},
                 {"move_to_pool", record.move_to_pool},
+                {"data_centre", record.data_centre},
+                {"rack", record.rack},
                 {"phase_since_ms", record.phase_since.count()},
                 {"maintained_at_ms", record.maintained_at.count()},
+                {"boot_id", record.boot_id},
                 {"write_id", record.write_id}}
         .dump();
 }
@@ -158,6 +161,7 @@
                 {"accepted_at_ms", record.accepted_at.count()},
                 {"expires_at_ms", record.expires_at.count()},
                 {"body", to_bytes(record.body)},
+                {"content_type", record.content_type},
                 {"answer_status", record.answer_status},
                 {"answer_content_type", record.answer_content_type},
                 {"answer", to_bytes(record.answer)},
@@ -188,8 +192,11 @@
         record.operation_id = value.at("operation_id").get<std::string>();
         record.reason = value.at("reason").get<std::string>();
         record.move_to_pool = value.at("move_to_pool").get<std::string>();
+        record.data_centre = value.value("data_centre", "");
+        record.rack = value.value("rack", "");
         record.phase_since = time_field(value, "phase_since_ms");
         record.maintained_at = time_field(value, "maintained_at_ms");
+        record.boot_id = value.value("boot_id", std::int64_t{0});
         record.write_id = value.at("write_id").get<std::string>();
         return record;
     });
@@ -210,6 +217,7 @@
         record.accepted_at = time_field(value, "accepted_at_ms");
         record.expires_at = time_field(value, "expires_at_ms");
         record.body = from_bytes(value.at("body"));
+        record.content_type = value.value("content_type", "");
         record.answer_status = value.at("answer_status").get<int>();
         record.answer_content_type = value.at("answer_content_type").get<std::string>();
         record.answer = from_bytes(value.at("answer"));
