--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -10,6 +10,7 @@
 #include "base/settings.h"
 #include "base/time.h"
 #include "objects/objects.h"
+#include "peers/messages.h"
 #include "platform/platform.h"
 #include "records/records.h"
 
@@ -37,21 +38,8 @@
 
 using vm_snapshot_ptr = std::shared_ptr<const vm_snapshot>;
 
-// Demand and use of one service as one entry sees it.
-struct service_load {
-    std::string service;
-    int waiting = 0;         // calls that wait for a slot
-    int running = 0;         // slots in use by this entry
-    double arrival_rate = 0; // requests per second, smoothed
-    int backlog = 0;         // deferred requests, reported by the queue's owner only
-};
-
-// Acknowledgment that no new work is sent to a VM whose record has this revision.
-struct drain_acknowledgment {
-    std::string vm;
-    std::int64_t record_revision = 0;
-    int in_flight = 0;
-};
+using peers::drain_acknowledgment;
+using peers::service_load;
 
 struct member_status {
     records::member_record member;
--- a/src/cluster/vm_table.h
+++ b/src/cluster/vm_table.h
@@ -6,18 +6,12 @@
 #include <vector>
 
 #include "cluster/cluster_state.h"
+#include "peers/messages.h"
 #include "platform/platform.h"
-#include "records/records.h"
 
 namespace jl::cluster {
 
-// The part of a VM record that entries need, with its revision in the store.
-struct vm_mark {
-    std::string vm;
-    std::string pool;
-    records::vm_phase phase = records::vm_phase::in_service;
-    std::int64_t revision = 0;
-};
+using peers::vm_mark;
 
 // The VM list combined with the planner's VM records. Not thread-safe.
 class vm_table {
