--- a/src/decisions/capacity.cpp
+++ b/src/decisions/capacity.cpp
@@ -46,6 +46,7 @@
     int required = 0; // needed now or within the lead time
     int held = 0;     // worth holding for the pool's own next peak
     std::vector<std::size_t> movable;
+    bool blocked = false; // the budgets let no further VM leave it
 
     int shortage() const { return std::max(0, required - size); }
     int surplus() const { return std::max(0, size - std::max(required, held)); }
@@ -134,9 +135,11 @@
         }
     }
 
+    enum class move_result { moved, source_blocked, destination_blocked };
+
     // Moves one VM. Prefers a VM whose rack holds many VMs of its pool, so that the rest of the
     // pool stays spread over racks.
-    bool move_one(pool_state& from, pool_state& to)
+    move_result move_one(pool_state& from, pool_state& to)
     {
         std::unordered_map<std::string, int> in_rack;
         for (const auto index : from.movable) {
@@ -149,11 +152,14 @@
                              return std::make_pair(first.tasks, -in_rack[first.rack]) <
                                     std::make_pair(second.tasks, -in_rack[second.rack]);
                          });
-        const auto found =
-            std::find_if(from.movable.begin(), from.movable.end(),
-                         [&](std::size_t index) { return ledger_.allows(index, to.pool->name); });
+        const auto found = std::find_if(from.movable.begin(), from.movable.end(),
+                                        [&](std::size_t index) { return ledger_.allows(index); });
         if (found == from.movable.end()) {
-            return false;
+            from.blocked = true;
+            return move_result::source_blocked;
+        }
+        if (!ledger_.allows(*found, to.pool->name)) {
+            return move_result::destination_blocked;
         }
         const auto index = *found;
         from.movable.erase(found);
@@ -162,15 +168,14 @@
             start_drain(snapshot_, snapshot_.vms[index], "move " + to.pool->name, to.pool->name));
         --from.size;
         ++to.size;
-        return true;
+        return move_result::moved;
     }
 
-    pool_state* find_source(const pool_state& destination, const std::vector<pool_state*>& refused)
+    pool_state* find_source(const pool_state& destination)
     {
         pool_state* best = nullptr;
         for (auto* state : order_) {
-            if (state == &destination || state->lendable() == 0 || state->movable.empty() ||
-                std::count(refused.begin(), refused.end(), state) > 0) {
+            if (state == &destination || state->blocked || state->lendable() == 0) {
                 continue;
             }
             // VMs of the spare pool cost nothing where they are, so a surplus elsewhere comes
@@ -200,16 +205,12 @@
                 unmet.begin(), unmet.end(), [](const pool_state* left, const pool_state* right) {
                     return left->size * right->required < right->size * left->required;
                 });
-            std::vector<pool_state*> refused;
-            bool moved = false;
-            while (auto* source = find_source(**next, refused)) {
-                moved = move_one(*source, **next);
-                if (moved) {
-                    break;
-                }
-                refused.push_back(source);
-            }
-            if (!moved || (*next)->shortage() == 0) {
+            auto* source = find_source(**next);
+            // Budgets only get fuller within a round, so a blocked pool is not tried again, and
+            // the number of attempts stays linear in the number of pools and moves.
+            if (source == nullptr ||
+                move_one(*source, **next) == move_result::destination_blocked ||
+                (*next)->shortage() == 0) {
                 unmet.erase(next);
             }
         }
@@ -236,7 +237,7 @@
             wanted_soon -= waiting;
             for (int left = state->surplus() - waiting;
                  left > 0 && (*spare)->size < (*spare)->pool->max_vms; --left) {
-                if (!move_one(*state, **spare)) {
+                if (move_one(*state, **spare) != move_result::moved) {
                     break;
                 }
             }
