--- a/src/operators/admin_api.cpp
+++ b/src/operators/admin_api.cpp
@@ -140,9 +140,13 @@
     return found == configuration->owners.end() ? "" : found->second;
 }
 
-http::response forbidden(const std::string& object)
+http::response forbidden(const std::string& object, const std::string& owner)
 {
-    return http::error_response(403, "forbidden", object + " belongs to another team", "owner");
+    return http::error_response(403, "forbidden",
+                                object + " may be changed by " +
+                                    (owner.empty() ? "" : "team " + owner + " and ") +
+                                    "administrators only",
+                                "owner");
 }
 
 // State of a wave asked for in the body {"state": "paused"}.
@@ -508,8 +512,9 @@
     if (configuration->owners.count(object) == 0) {
         return not_found("no wave named " + name);
     }
-    if (!call.account.may_change(owner_of(configuration, object))) {
-        return forbidden(object);
+    const auto owner = owner_of(configuration, object);
+    if (!call.account.may_change(owner)) {
+        return forbidden(object, owner);
     }
     const auto state = read_wave_state(call.request.body);
     if (!state) {
@@ -565,8 +570,9 @@
         return not_found("no VM named " + name);
     }
     const std::string pool = "pool " + found->state.pool;
-    if (!call.account.may_change(owner_of(picture->configuration, pool))) {
-        return forbidden(pool);
+    const auto owner = owner_of(picture->configuration, pool);
+    if (!call.account.may_change(owner)) {
+        return forbidden(pool, owner);
     }
     if (withdraw) {
         return control_.withdraw_drain(name, call.account.name, call.write_id())
--- a/src/operators/configuration_service.cpp
+++ b/src/operators/configuration_service.cpp
@@ -55,6 +55,12 @@
     return found == set->owners.end() ? "" : found->second;
 }
 
+std::string describe_owner(const std::string& owner)
+{
+    return owner.empty() ? "may be changed by administrators only"
+                         : "may be changed by team " + owner + " and administrators only";
+}
+
 // Lists the changes that the author may not make. The owner before and after the change both
 // count, so that a team can neither take nor give away an object.
 std::vector<objects::object_error>
@@ -64,12 +70,14 @@
 {
     std::vector<objects::object_error> faults;
     for (const auto& change : changes) {
-        const bool allowed_before = change.change == objects::change_kind::added ||
-                                    may_change(change.object, owner_of(before, change.object));
-        const bool allowed_after = change.change == objects::change_kind::removed ||
-                                   may_change(change.object, owner_of(after, change.object));
-        if (!allowed_before || !allowed_after) {
-            faults.push_back({change.object, "owner", "belongs to another team"});
+        const auto old_owner = owner_of(before, change.object);
+        const auto new_owner = owner_of(after, change.object);
+        if (change.change != objects::change_kind::added && !may_change(change.object, old_owner)) {
+            faults.push_back({change.object, "owner", describe_owner(old_owner)});
+        }
+        else if (change.change != objects::change_kind::removed &&
+                 !may_change(change.object, new_owner)) {
+            faults.push_back({change.object, "owner", describe_owner(new_owner)});
         }
     }
     return faults;
@@ -216,6 +224,13 @@
     return std::nullopt;
 }
 
+std::vector<objects::object_change>
+configuration_service::changes_of(const published_configuration& published)
+{
+    const auto previous = generation(published.generation - 1);
+    return objects::diff_documents(previous ? previous->document : "", published.document);
+}
+
 std::optional<publish_result> configuration_service::publish(const publish_request& request,
                                                              const change_permission& may_change)
 {
@@ -232,8 +247,9 @@
     if (stored->value.generation != request.expected_generation) {
         // A repeated publish whose first attempt took effect finds its own write id.
         const auto own = generation(request.expected_generation + 1);
-        if (own && own->write_id == request.write_id) {
-            return publish_result{own->generation, {}};
+        if (own && own->write_id == request.write_id &&
+            own->document == compact(request.document)) {
+            return publish_result{own->generation, changes_of(*own)};
         }
         return fail_conflict(request, stored->value);
     }
@@ -245,7 +261,7 @@
     auto forbidden = find_forbidden(changes, before, after, may_change);
     if (!forbidden.empty()) {
         return fail_faults(configuration_error_code::forbidden,
-                           "the document changes objects of another team", std::move(forbidden));
+                           "the operator may not make some of the changes", std::move(forbidden));
     }
     return commit(request, *stored, std::move(changes));
 }
--- a/src/operators/configuration_service.h
+++ b/src/operators/configuration_service.h
@@ -96,6 +96,9 @@
     std::optional<objects::published_configuration> read_key(const std::string& key);
     std::nullopt_t fail_conflict(const publish_request& request,
                                  const objects::published_configuration& current);
+    // What a generation changed compared with the one before it.
+    std::vector<objects::object_change>
+    changes_of(const objects::published_configuration& published);
     std::optional<publish_result> commit(const publish_request& request,
                                          const stored_configuration& current,
                                          std::vector<objects::object_change> changes);
--- a/src/operators/ctl_commands.cpp
+++ b/src/operators/ctl_commands.cpp
@@ -11,6 +11,7 @@
 
 #include "objects/fields.h"
 #include "objects/objects.h"
+#include "operators/admin_json.h"
 #include "operators/admin_settings.h"
 #include "operators/operator_registry.h"
 #include "operators/text_table.h"
@@ -179,14 +180,18 @@
 ctl_exit check_locally(const invocation& invocation, const std::string& document)
 {
     std::vector<objects::object_error> faults;
-    if (objects::parse_objects(document, faults)) {
+    const bool valid = objects::parse_objects(document, faults).has_value();
+    if (invocation.json) {
+        const json body = {{"valid", valid}, {"faults", api_json(faults)}};
+        invocation.environment.output << body.dump(2) << "\n";
+    }
+    else if (valid) {
         invocation.environment.output << "valid\n";
-        return ctl_exit::done;
     }
     for (const auto& fault : faults) {
         invocation.environment.errors << fault.to_string() << "\n";
     }
-    return ctl_exit::invalid;
+    return valid ? ctl_exit::done : ctl_exit::invalid;
 }
 
 ctl_exit check(const invocation& invocation)
@@ -257,7 +262,7 @@
         const auto body = json::parse(answer->body, nullptr, false);
         const auto report = body.value("configuration", json::object());
         if (report.value("generation", 0LL) >= generation && report.value("in_force", false)) {
-            invocation.environment.output << "in force at all " << report.value("entries", 0)
+            invocation.environment.errors << "in force at all " << report.value("entries", 0)
                                           << " entries\n";
             return ctl_exit::done;
         }
@@ -290,7 +295,6 @@
     const auto answer = invocation.client->publish(
         *document, std::strtoll(invocation.option("expected-generation").c_str(), nullptr, 10),
         write_id);
-    std::int64_t generation = 0;
     const auto code = show(invocation, answer, [](std::ostream& output, const json& body) {
         output << "published generation " << body.value("generation", 0LL) << "\n";
         print_changes(output, body["changes"]);
@@ -298,7 +302,7 @@
     if (code != ctl_exit::done || !invocation.has("wait-s")) {
         return code;
     }
-    generation = json::parse(answer->body).value("generation", 0LL);
+    const auto generation = json::parse(answer->body).value("generation", 0LL);
     return wait_in_force(invocation, generation,
                          std::strtol(invocation.option("wait-s").c_str(), nullptr, 10));
 }
@@ -339,7 +343,6 @@
 
 ctl_exit status(const invocation& invocation)
 {
-    bool in_force = false;
     const auto answer = invocation.client->get("/v1/status");
     const auto code = show(invocation, answer, [](std::ostream& output, const json& body) {
         const auto& report = body["configuration"];
@@ -368,7 +371,7 @@
     if (code != ctl_exit::done) {
         return code;
     }
-    in_force = json::parse(answer->body)["configuration"].value("in_force", false);
+    const bool in_force = json::parse(answer->body)["configuration"].value("in_force", false);
     return in_force ? ctl_exit::done : ctl_exit::not_in_force;
 }
 
@@ -380,6 +383,23 @@
     }
 }
 
+bool ends_with(const std::string& text, const std::string& end)
+{
+    return text.size() >= end.size() &&
+           text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+// Points in time are shown in UTC; 0 means never.
+std::string to_field_cell(const std::string& key, const json& value)
+{
+    for (const char* end : {"_at_ms", "_since_ms", "_start_ms", "_end_ms"}) {
+        if (ends_with(key, end) && value.is_number_integer()) {
+            return value == 0 ? "-" : format_time(value.get<std::int64_t>());
+        }
+    }
+    return to_cell(value);
+}
+
 void print_fields(std::ostream& output, const json& body)
 {
     text_table table({"FIELD", "VALUE"});
@@ -387,7 +407,7 @@
         const bool nested =
             !field.value().empty() && field.value().is_array() && field.value().front().is_object();
         if (!nested && field.key() != "blocking" && field.key() != "error") {
-            table.add({field.key(), to_cell(field.value())});
+            table.add({field.key(), to_field_cell(field.key(), field.value())});
         }
     }
     table.print(output);
--- a/src/operators/view.cpp
+++ b/src/operators/view.cpp
@@ -224,7 +224,6 @@
         if (!selects(wave, state.pool)) {
             continue;
         }
-        explanation.waves.push_back(wave.wave);
         if (maintained_since(explanation.vm, wave.period_start)) {
             continue;
         }
@@ -328,7 +327,13 @@
         }
         explanation.budgets = covering_budgets(picture, budget_headrooms(picture), found->state);
     }
-    explain_blocking(explanation, wave_progresses(picture));
+    const auto waves = wave_progresses(picture);
+    for (const auto& wave : waves) {
+        if (selects(wave, found->state.pool)) {
+            explanation.waves.push_back(wave.wave);
+        }
+    }
+    explain_blocking(explanation, waves);
     return explanation;
 }
 
