--- a/src/store/etcd_codec.cpp
+++ b/src/store/etcd_codec.cpp
@@ -13,8 +13,33 @@
 
 using nlohmann::json;
 
+// nlohmann::json takes any value for an empty or a one-element container, which would turn a
+// malformed answer into an empty one.
+void require_object(const json& value)
+{
+    if (!value.is_object()) {
+        throw std::invalid_argument("expected an object");
+    }
+}
+
+// The elements of a list that may be left out when it is empty.
+const json& list_field(const json& object, const char* key)
+{
+    static const json empty = json::array();
+    require_object(object);
+    const auto found = object.find(key);
+    if (found == object.end()) {
+        return empty;
+    }
+    if (!found->is_array()) {
+        throw std::invalid_argument(std::string(key) + " is not a list");
+    }
+    return *found;
+}
+
 std::string bytes_field(const json& object, const char* key)
 {
+    require_object(object);
     const auto found = object.find(key);
     if (found == object.end()) {
         return "";
@@ -114,11 +139,30 @@
 
 std::int64_t decode_integer(const json& object, const char* key)
 {
+    require_object(object);
     const auto found = object.find(key);
     if (found == object.end()) {
         return 0; // the gateway leaves out zero values
     }
-    return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
+    if (!found->is_string()) {
+        return found->get<std::int64_t>();
+    }
+    const auto text = found->get<std::string>();
+    std::size_t used = 0;
+    const auto value = std::stoll(text, &used);
+    if (used != text.size()) {
+        throw std::invalid_argument(std::string(key) + " is not an integer");
+    }
+    return value;
+}
+
+std::int64_t decode_revision(const json& object)
+{
+    const auto revision = decode_integer(object.at("header"), "revision");
+    if (revision <= 0) {
+        throw std::invalid_argument("the answer has no revision");
+    }
+    return revision;
 }
 
 key_value decode_key_value(const json& object)
@@ -138,10 +182,8 @@
     if (object.contains("header")) {
         result.revision = decode_integer(object["header"], "revision");
     }
-    if (object.contains("kvs")) {
-        for (const auto& item : object["kvs"]) {
-            result.items.push_back(decode_key_value(item));
-        }
+    for (const auto& item : list_field(object, "kvs")) {
+        result.items.push_back(decode_key_value(item));
     }
     result.more = object.value("more", false);
     const auto read = static_cast<std::int64_t>(result.items.size());
@@ -152,13 +194,11 @@
 transaction_result decode_transaction(const json& object)
 {
     transaction_result result;
-    result.revision = decode_integer(object.at("header"), "revision");
+    result.revision = decode_revision(object);
     result.succeeded = object.value("succeeded", false);
-    if (object.contains("responses")) {
-        for (const auto& response : object["responses"]) {
-            if (response.contains("response_range")) {
-                result.ranges.push_back(decode_range(response["response_range"]));
-            }
+    for (const auto& response : list_field(object, "responses")) {
+        if (response.contains("response_range")) {
+            result.ranges.push_back(decode_range(response["response_range"]));
         }
     }
     return result;
@@ -167,10 +207,7 @@
 std::vector<watch_event> decode_events(const json& watch_result)
 {
     std::vector<watch_event> events;
-    if (!watch_result.contains("events")) {
-        return events;
-    }
-    for (const auto& event : watch_result["events"]) {
+    for (const auto& event : list_field(watch_result, "events")) {
         const bool removed = event.value("type", "PUT") == "DELETE";
         events.push_back({removed ? watch_event::kind::remove : watch_event::kind::put,
                           decode_key_value(event.at("kv"))});
--- a/src/store/etcd_codec.h
+++ b/src/store/etcd_codec.h
@@ -19,6 +19,8 @@
 
 // These throw nlohmann::json::exception or std::invalid_argument on malformed input.
 std::int64_t decode_integer(const nlohmann::json& object, const char* key);
+// Revision in the header that every answer to a range or a transaction has.
+std::int64_t decode_revision(const nlohmann::json& object);
 key_value decode_key_value(const nlohmann::json& object);
 range_result decode_range(const nlohmann::json& object);
 transaction_result decode_transaction(const nlohmann::json& object);
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -1,5 +1,6 @@
 #include "store/etcd_store.h"
 
+#include <algorithm>
 #include <atomic>
 #include <string>
 #include <thread>
@@ -31,6 +32,23 @@
     return error.not_sent() ? store_error_code::unavailable : store_error_code::outcome_unknown;
 }
 
+std::size_t count_ranges(const transaction& transaction, bool succeeded)
+{
+    const auto& operations = succeeded ? transaction.on_success : transaction.on_failure;
+    return static_cast<std::size_t>(
+        std::count_if(operations.begin(), operations.end(),
+                      [](const operation& one) { return one.type == operation::kind::range; }));
+}
+
+// etcd reports a write that it has proposed but not seen applied with the same status as a write
+// that it does not accept; only the text differs.
+bool may_have_been_proposed(const std::string& body)
+{
+    return body.find("timed out") != std::string::npos ||
+           body.find("leader changed") != std::string::npos ||
+           body.find("server stopped") != std::string::npos;
+}
+
 // Streams one watch call on a connection and a thread of its own.
 class etcd_watch final : public watch {
 public:
@@ -113,22 +131,33 @@
     std::optional<range_result> range(const range_request& request, steady_time deadline) override
     {
         const auto answer = call("/v3/kv/range", internal::encode(request), deadline);
-        return decode<range_result>(answer, internal::decode_range);
+        return decode<range_result>(answer, [](const json& value) {
+            internal::decode_revision(value);
+            return internal::decode_range(value);
+        });
     }
 
     std::optional<transaction_result> commit(const transaction& transaction,
                                              steady_time deadline) override
     {
         const auto answer = call("/v3/kv/txn", internal::encode(transaction), deadline);
-        return decode<transaction_result>(answer, internal::decode_transaction);
+        auto result = decode<transaction_result>(answer, internal::decode_transaction);
+        if (result && result->ranges.size() != count_ranges(transaction, result->succeeded)) {
+            return fail(store_error_code::malformed, "the answer lacks values");
+        }
+        return result;
     }
 
     std::optional<std::int64_t> grant_lease(std::chrono::seconds ttl, steady_time deadline) override
     {
         const json body = {{"TTL", std::to_string(ttl.count())}, {"ID", "0"}};
         const auto answer = call("/v3/lease/grant", body, deadline);
-        return decode<std::int64_t>(
+        const auto lease = decode<std::int64_t>(
             answer, [](const json& value) { return internal::decode_integer(value, "ID"); });
+        if (lease && *lease <= 0) {
+            return fail(store_error_code::malformed, "the answer has no lease");
+        }
+        return lease;
     }
 
     std::optional<std::chrono::seconds> keep_alive(std::int64_t lease,
@@ -199,7 +228,7 @@
         if (answer.status == 404) {
             return fail(store_error_code::lease_not_found, answer.body);
         }
-        if (answer.status == 503) {
+        if (answer.status == 503 && !may_have_been_proposed(answer.body)) {
             return fail(store_error_code::unavailable, answer.body);
         }
         // A gateway reports a lost connection to its store in this way.
--- a/standins/etcd_gateway.cpp
+++ b/standins/etcd_gateway.cpp
@@ -56,7 +56,7 @@
     }
     return {{"header", header(result.revision)},
             {"kvs", items},
-            {"count", std::to_string(result.items.size())},
+            {"count", std::to_string(result.count)},
             {"more", result.more}};
 }
 
