--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -445,29 +445,35 @@
         return unused;
     }
 
+    // Demand of every live entry. Until all of them have reported, all count as equal: an entry that
+    // knew only its own demand would take slots that others use.
     std::vector<decisions::entry_demand>
     collect_demands(const std::vector<cluster::member_status>& members, const std::string& self,
                     const std::string& service) const
     {
         std::vector<decisions::entry_demand> demands;
         bool listed = false;
+        bool all_reported = true;
         for (const auto& member : members) {
             const bool is_self = member.member.member == self;
             if (!member.alive && !is_self) {
                 continue;
             }
             listed = listed || is_self;
-            decisions::entry_demand demand{member.member.member, 0};
-            for (const auto& load : member.loads) {
-                if (load.service == service) {
-                    demand.slots = round_up_demand(load);
-                }
-            }
-            demands.push_back(std::move(demand));
+            const auto load = std::find_if(member.loads.begin(), member.loads.end(),
+                                           [&](const auto& load) { return load.service == service; });
+            all_reported = all_reported && load != member.loads.end();
+            demands.push_back({member.member.member,
+                               load == member.loads.end() ? 0 : round_up_demand(*load)});
         }
         if (!listed) {
             demands.push_back({self, 0});
         }
+        if (!all_reported) {
+            for (auto& demand : demands) {
+                demand.slots = 0;
+            }
+        }
         return demands;
     }
 
