--- a/src/cluster/liveness.cpp
+++ b/src/cluster/liveness.cpp
@@ -1,5 +1,7 @@
 #include "cluster/liveness.h"
 
+#include <algorithm>
+
 namespace jl::cluster {
 
 namespace {
@@ -9,10 +11,12 @@
 // acknowledgments of more than half of the members within 2 s.
 bool platform_is_down(const cluster_sight& sight, steady_time now)
 {
-    if (within(sight.platform_reached_at, now, max_view_age)) {
+    if (!sight.members_known || within(sight.platform_reached_at, now, max_view_age)) {
         return false;
     }
-    std::size_t heard = 1;
+    int heard = 1;
+    // A restarted entry may know fewer members than those it hears.
+    int members = static_cast<int>(sight.others.size()) + 1;
     for (const auto& other : sight.others) {
         if (!within(other.heard_at, now, max_view_age)) {
             continue;
@@ -21,8 +25,9 @@
             return false;
         }
         ++heard;
+        members = std::max(members, other.known_members);
     }
-    return heard * 2 > sight.others.size() + 1;
+    return heard * 2 > members;
 }
 
 } // namespace
--- a/src/cluster/liveness.h
+++ b/src/cluster/liveness.h
@@ -23,6 +23,7 @@
     std::string member;
     std::optional<steady_time> heard_at;
     bool reaches_platform = true;
+    int known_members = 0; // that it knows itself, it included
 };
 
 struct cluster_sight {
@@ -31,6 +32,8 @@
     std::optional<steady_time> view_confirmed_at;
     // Last answer of the store or the VM list to this entry itself.
     std::optional<steady_time> platform_reached_at;
+    // False until the member records have been read or a link has been made.
+    bool members_known = false;
     // The last known members without this entry.
     std::vector<member_sight> others;
 };
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -98,7 +98,7 @@
         visit(value.store_reachable);
         visit(value.platform_reachable);
         visit(value.view_complete);
-        visit(value.superseded);
+        visit(value.known_members);
         visit(value.list_digest);
         visit(value.records_digest);
     }
@@ -133,6 +133,9 @@
         visit(value.vm_list);
         visit(value.vm_records);
     }
+    else if constexpr (std::is_same_v<type, generation_notice>) {
+        visit(value.generation);
+    }
     else if constexpr (std::is_same_v<type, configuration_push>) {
         visit(value.generation);
         visit(value.published);
@@ -194,7 +197,6 @@
         visit(value.view_included);
         visit(value.vms);
         visit(value.marks);
-        visit(value.unlisted);
         visit(value.members);
     }
 }
@@ -333,15 +335,17 @@
 {
     return generation == other.generation && store_reachable == other.store_reachable &&
            platform_reachable == other.platform_reachable && view_complete == other.view_complete &&
-           superseded == other.superseded && list_digest == other.list_digest &&
+           known_members == other.known_members && list_digest == other.list_digest &&
            records_digest == other.records_digest;
 }
 
 const char* type_name(const message& message)
 {
     constexpr std::array<const char*, std::variant_size_v<peers::message>> names = {
-        "hello",         "ping",          "pong",    "load_report", "drain_report", "queue_notice",
-        "state_request", "configuration", "vm_list", "vm_records",  "observe",      "observation"};
+        "hello",         "ping",         "pong",          "load_report",
+        "drain_report",  "queue_notice", "state_request", "generation_notice",
+        "configuration", "vm_list",      "vm_records",    "observe",
+        "observation"};
     return names.at(message.index());
 }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -38,7 +38,7 @@
     bool store_reachable = false;
     bool platform_reachable = false; // the store or the VM list answered within 2 s
     bool view_complete = false;      // the VM list and the VM records have been read
-    bool superseded = false;         // replaced under its name; it neither sends nor registers
+    int known_members = 0;           // the sender included
     std::uint64_t list_digest = 0;
     std::uint64_t records_digest = 0;
     bool operator==(const member_report& other) const;
@@ -89,6 +89,11 @@
     bool vm_records = false;
 };
 
+// A configuration of this generation was read from the store.
+struct generation_notice {
+    std::int64_t generation = 0;
+};
+
 // A published configuration, in its stored form.
 struct configuration_push {
     std::int64_t generation = 0;
@@ -139,16 +144,16 @@
     std::uint64_t sequence = 0;
     std::string published; // empty: not newer than the generation in the request
     std::uint64_t view_version = 0;
-    bool view_included = false;           // false: the view has the version in the request
-    std::vector<platform::listed_vm> vms; // `initial_pool` holds the present pool
-    std::vector<vm_mark> marks;           // of the VMs with a record
-    std::vector<std::string> unlisted;    // VMs of `vms` that are not in the VM list
+    bool view_included = false; // false: the view has the version in the request
+    // `initial_pool` holds the present pool, `leaving` is true for VMs not listed as live.
+    std::vector<platform::listed_vm> vms;
+    std::vector<vm_mark> marks; // of the VMs with a record
     std::vector<observed_member> members;
 };
 
-using message =
-    std::variant<hello, ping, pong, load_report, drain_report, queue_notice, state_request,
-                 configuration_push, vm_list_push, vm_records_push, observe, observation>;
+using message = std::variant<hello, ping, pong, load_report, drain_report, queue_notice,
+                             state_request, generation_notice, configuration_push, vm_list_push,
+                             vm_records_push, observe, observation>;
 
 // Name of the message's type, for metrics.
 const char* type_name(const message& message);
--- a/src/peers/peer_transport.h
+++ b/src/peers/peer_transport.h
@@ -13,11 +13,15 @@
 
 namespace jl::peers {
 
-// A process to keep a link with. Of two members one dials, so that there is one link per pair.
+// A process to keep a link with. Of two members the one with the lower name dials first; the other
+// dials if there is no link after a while, in case only its connections get through. Of two links
+// of a pair, both sides keep the one dialed by the lower name.
+// As the name of a peer: whoever answers at the address.
+inline constexpr const char* any_member = "";
+
 struct peer_address {
     std::string member;
-    endpoint address;
-    bool dial = false;
+    endpoint address; // port 0: not known, so it is not dialed
     std::chrono::milliseconds ping_period{1000};
 };
 
@@ -51,7 +55,7 @@
 // one without traffic for 3 s is closed. A closed link is dialed again on a new connection after a
 // jittered exponential delay. A malformed message closes its link and affects nothing else.
 //
-//   transport->set_peers({{"entry-2", {"10.0.0.2", 7001}, true}});
+//   transport->set_peers({{"entry-2", {"10.0.0.2", 7001}}});
 //   transport->start(events);
 //   transport->send("entry-2", queue_notice{"rounds"}, priority::urgent);
 //
@@ -80,6 +84,8 @@
     std::chrono::milliseconds silence_limit{3000};
     std::chrono::milliseconds first_backoff{100};
     std::chrono::milliseconds max_backoff{2000};
+    // Time without a link after which the member with the higher name dials as well.
+    std::chrono::milliseconds second_dialer_delay{1500};
     std::size_t max_queue_bytes = 8U << 20U; // per link; beyond it the link is closed
     std::size_t max_links = 256;
 };
--- a/src/peers/websocket_transport.cpp
+++ b/src/peers/websocket_transport.cpp
@@ -1,4 +1,4 @@
-#include <array>
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <random>
@@ -28,6 +28,9 @@
 constexpr long close_limit_ms = 1000;
 // Bytes handed to the socket of a link before more are taken from its queue.
 constexpr std::size_t max_buffered_bytes = 256U << 10U;
+// A link that received something within this time is kept when the peer with the higher name dials
+// another. Shorter than the peer's delay before it dials after a failure.
+constexpr milliseconds duplicate_check{1000};
 // Pings whose pong is awaited; older ones no longer count.
 constexpr std::size_t max_open_pings = 8;
 
@@ -178,6 +181,7 @@
     bool start(peer_events& events) override
     {
         events_ = &events;
+        self_ = events.describe_self();
         if (options_.listen && !listen(*options_.listen)) {
             return false;
         }
@@ -297,19 +301,29 @@
         for (const auto id : silent) {
             close(id, "silent", websocketpp::close::status::going_away);
         }
-        for (const auto& [member, id] : copy_of_members()) {
+        // Each round begins with another link, so that all get their turn within the budget.
+        auto members = copy_of_members();
+        if (!members.empty()) {
+            std::rotate(members.begin(), members.begin() + first_served_++ % members.size(),
+                        members.end());
+        }
+        for (const auto& [member, id] : members) {
             ping_if_due(id, member, now);
-            pump(id);
+            pump(id, true);
         }
         for (auto& [member, state] : dials_) {
-            if (state.peer.dial && !state.dialing && now >= state.next_attempt) {
+            if (state.peer.address.port != 0 && !state.dialing && members_.count(member) == 0 &&
+                now >= state.next_attempt) {
                 dial(state);
             }
         }
     }
 
     // The callbacks of a closed link change members_ during a loop over it.
-    std::map<std::string, link_id> copy_of_members() const { return members_; }
+    std::vector<std::pair<std::string, link_id>> copy_of_members() const
+    {
+        return {members_.begin(), members_.end()};
+    }
 
     void ping_if_due(link_id id, const std::string& member, steady_time now)
     {
@@ -342,6 +356,9 @@
             if (found != dials_.end()) {
                 state = found->second;
             }
+            else {
+                state.next_attempt = clock_.steady_now() + dial_delay(peer.member);
+            }
             const bool moved = !(state.peer.address == peer.address);
             state.peer = peer;
             if (moved && state.dialing) {
@@ -383,6 +400,13 @@
         client_.connect(opened);
     }
 
+    // The member with the higher name leaves the first attempt to the other.
+    milliseconds dial_delay(const std::string& member) const
+    {
+        return member.empty() || self_.member < member ? milliseconds(0)
+                                                       : options_.second_dialer_delay;
+    }
+
     void schedule_retry(dial_state& state)
     {
         constexpr int max_doublings = 10;
@@ -391,7 +415,8 @@
                      options_.max_backoff);
         ++state.failures;
         std::uniform_int_distribution<std::int64_t> delay(limit.count() / 2, limit.count());
-        state.next_attempt = clock_.steady_now() + milliseconds(delay(random_));
+        state.next_attempt =
+            clock_.steady_now() + dial_delay(state.peer.member) + milliseconds(delay(random_));
     }
 
     void accept(websocketpp::connection_hdl handle)
@@ -464,6 +489,10 @@
         const auto known = members_.find(member);
         if (known != members_.end() && known->second == id) {
             members_.erase(known);
+            const auto redial = dials_.find(member);
+            if (redial != dials_.end() && !redial->second.dialing) {
+                schedule_retry(redial->second);
+            }
             log_event(log_level::warning, "peer_link_down",
                       {{"member", member}, {"reason", reason}});
             events_->on_link_down(member);
@@ -553,8 +582,9 @@
         }
         const auto former = members_.find(greeting.member);
         if (former != members_.end()) {
-            // The other side opened a new connection, so the former one no longer serves it.
-            close(former->second, "replaced", websocketpp::close::status::going_away);
+            // A copy of the id, since closing erases the entry.
+            const auto former_id = former->second;
+            close(former_id, "replaced", websocketpp::close::status::going_away);
         }
         link.member = greeting.member;
         link.attached = greeting.attached;
@@ -583,10 +613,19 @@
             return "other_member";
         }
         const auto former = members_.find(greeting.member);
-        if (former != members_.end() &&
-            links_.at(former->second).incarnation > greeting.incarnation) {
+        if (former == members_.end()) {
+            return nullptr;
+        }
+        const auto& present = links_.at(former->second);
+        if (present.incarnation > greeting.incarnation) {
             return "older_incarnation";
         }
+        const bool preferred = link.wire.dialed() == (self_.member < greeting.member);
+        const bool active = clock_.steady_now() - present.received_at < duplicate_check;
+        if (present.incarnation == greeting.incarnation && active && !preferred &&
+            !greeting.attached && !self_.attached) {
+            return "duplicate";
+        }
         return nullptr;
     }
 
@@ -619,11 +658,11 @@
             close(id, "queue_full", websocketpp::close::status::try_again_later);
             return;
         }
-        pump(id);
+        pump(id, false);
     }
 
     // Hands queued messages to the socket while it keeps up.
-    void pump(link_id id)
+    void pump(link_id id, bool with_deferrable)
     {
         const auto found = links_.find(id);
         if (found == links_.end()) {
@@ -642,7 +681,7 @@
                 link.bulk.pop_front();
                 link.queued_bytes -= next.bytes.size();
             }
-            else if (link.deferrable && budget_.allows(clock_.steady_now())) {
+            else if (with_deferrable && link.deferrable && budget_.allows(clock_.steady_now())) {
                 next = std::move(*link.deferrable);
                 link.deferrable.reset();
             }
@@ -661,7 +700,9 @@
         }
         const auto bytes =
             next.bytes.size() + frame_header_bytes(next.bytes.size(), link.wire.dialed());
-        budget_.record(bytes, clock_.steady_now());
+        if (!link.attached) {
+            budget_.record(bytes, clock_.steady_now());
+        }
         count_bytes("sent", next.type, bytes);
     }
 
@@ -683,6 +724,7 @@
     const transport_options options_;
     peer_events* events_ = nullptr;
     endpoint listening_;
+    hello self_;
 
     // The following belong to the transport's thread once it runs.
     traffic_budget budget_;
@@ -694,6 +736,7 @@
     std::map<std::string, link_id> members_; // links whose hello has been received
     std::map<std::string, dial_state> dials_;
     link_id next_link_ = 1;
+    std::size_t first_served_ = 0;
     std::mt19937_64 random_{std::random_device{}()};
     bool stopping_ = false;
     std::thread thread_;
