--- a/src/operators/admin_json.cpp
+++ b/src/operators/admin_json.cpp
@@ -54,7 +54,7 @@
             {"period_start_ms", progress.period_start.count()},
             {"period_end_ms", progress.period_end.count()},
             {"vms", progress.vms},
-            {"maintained", progress.maintained},
+            {"done", progress.done},
             {"remaining", progress.remaining()},
             {"in_progress", progress.in_progress},
             {"blocking", progress.blocking}};
--- a/src/operators/ctl_commands.h
+++ b/src/operators/ctl_commands.h
@@ -52,6 +52,20 @@
 // Prints the error of an answer, or of a request without one, and returns the exit code.
 ctl_exit report_failure(const invocation& invocation, const std::optional<http::response>& answer);
 
+// The commands, one function each.
+ctl_exit check(const invocation& invocation);
+ctl_exit diff(const invocation& invocation);
+ctl_exit plan(const invocation& invocation);
+ctl_exit apply(const invocation& invocation);
+ctl_exit history(const invocation& invocation);
+ctl_exit status(const invocation& invocation);
+ctl_exit explain(const invocation& invocation);
+ctl_exit drain(const invocation& invocation);
+ctl_exit pause(const invocation& invocation);
+ctl_exit resume(const invocation& invocation);
+ctl_exit cancel(const invocation& invocation);
+ctl_exit backlog(const invocation& invocation);
+ctl_exit top(const invocation& invocation);
 // Writes a page with plots from the entries' metrics; see report.h.
 ctl_exit run_report(const invocation& invocation);
 
--- a/src/operators/report.cpp
+++ b/src/operators/report.cpp
@@ -177,10 +177,10 @@
     std::vector<plot_bar> bars;
     if (body.is_object()) {
         for (const auto& wave : body.value("waves", json::array())) {
-            bars.push_back(
-                {wave.value("wave", ""), wave.value("maintained", 0.0), wave.value("vms", 0.0),
-                 std::to_string(wave.value("maintained", 0)) + " of " +
-                     std::to_string(wave.value("vms", 0)) + ", " + wave.value("state", "")});
+            bars.push_back({wave.value("wave", ""), wave.value("done", 0.0), wave.value("vms", 0.0),
+                            std::to_string(wave.value("done", 0)) + " of " +
+                                std::to_string(wave.value("vms", 0)) + ", " +
+                                wave.value("state", "")});
         }
     }
     return bars.empty() ? missing("no wave is configured") : bar_plot(bars);
--- a/src/operators/session_test.cpp
+++ b/src/operators/session_test.cpp
@@ -292,6 +292,7 @@
     run("ann", {"status", "--output", "xml"});
     run("ann", {"status", "--server", "somewhere"});
     run("ann", {"token", "mair", "team:booking"});
+    run("ann", {"token", "mair", "reader", "--secret", "s3cret"});
     run("ann", {"token", "mair", "king"});
     expect_golden("usage");
 }
--- a/src/operators/view.cpp
+++ b/src/operators/view.cpp
@@ -160,7 +160,7 @@
         }
         ++wave.vms;
         if (maintained_since(vm, wave.period_start)) {
-            ++wave.maintained;
+            ++wave.done;
         }
         if (vm.record && vm.record->reason == "wave " + wave.wave &&
             vm.state.phase != vm_phase::in_service) {
--- a/src/operators/view.h
+++ b/src/operators/view.h
@@ -54,10 +54,10 @@
     std::chrono::milliseconds period_start{}; // since the Unix epoch
     std::chrono::milliseconds period_end{};
     int vms = 0;
-    int maintained = 0; // since the start of the period
+    int done = 0; // maintained since the start of the period
     std::vector<std::string> in_progress;
     std::vector<std::string> blocking; // reasons why no further VM is drained now
-    int remaining() const { return vms - maintained; }
+    int remaining() const { return vms - done; }
 };
 
 std::vector<wave_progress> wave_progresses(const cluster_picture& picture);
--- a/src/operators/view_test.cpp
+++ b/src/operators/view_test.cpp
@@ -73,12 +73,12 @@
     picture.vms[0].record->maintained_at = period_start + std::chrono::minutes(1);
     set_phase(picture.vms[1], records::vm_phase::leaving);
     auto wave = wave_progresses(picture)[0];
-    EXPECT_EQ(wave.maintained, 1);
+    EXPECT_EQ(wave.done, 1);
     EXPECT_EQ(wave.remaining(), 3);
     EXPECT_THAT(wave.in_progress, ElementsAre("vm-2"));
     picture.now += std::chrono::hours(840);
     wave = wave_progresses(picture)[0];
-    EXPECT_EQ(wave.maintained, 0);
+    EXPECT_EQ(wave.done, 0);
     EXPECT_EQ(wave.period_start, period_start + std::chrono::hours(840));
 }
 
