--- a/src/bin/entry_main.cpp
+++ b/src/bin/entry_main.cpp
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "base/program.h"
+#include "base/scope_guard.h"
 #include "callers/caller_api.h"
 #include "cluster/cluster.h"
 #include "http/server.h"
@@ -118,6 +119,9 @@
 
     jl::cluster::cluster_options cluster_options;
     cluster_options.member = make_member(settings, addresses);
+    cluster_options.peer_listen = addresses.peers;
+    cluster_options.lease_renewal =
+        std::chrono::milliseconds(settings.integer("store.lease_ttl_s") * 1000 / 3);
     const auto cluster =
         jl::cluster::make_cluster(*store, lease, *platform.list, clock, metrics, cluster_options);
 
@@ -134,6 +138,11 @@
         }
         return loads;
     });
+    // The sources use the engine and the durable requests, which end before the cluster state.
+    const jl::scope_guard clear_sources([&] {
+        cluster->set_load_source({});
+        cluster->set_in_flight_source({});
+    });
     cluster->start();
 
     jl::http::server_limits limits;
@@ -170,6 +179,9 @@
     }
     catch (const Poco::Exception& error) {
         std::cerr << "jl-entry: " << error.displayText() << "\n";
-        return 1;
     }
+    catch (const std::exception& error) {
+        std::cerr << "jl-entry: " << error.what() << "\n";
+    }
+    return 1;
 }
--- a/src/bin/planner_main.cpp
+++ b/src/bin/planner_main.cpp
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/periodic_task.h"
 #include "base/program.h"
+#include "cluster/cluster.h"
 #include "fleet/planner.h"
 #include "http/server.h"
 #include "platform/platform.h"
@@ -33,8 +34,8 @@
          "Address for GET /metrics; empty: not served."},
         {"entry.address",
          setting_type::text,
+         "IP:port",
          "",
-         "\"\"",
          {},
          {},
          "Peer address of the jl-entry on this VM."},
@@ -66,24 +67,6 @@
     return table;
 }
 
-// A view without configuration or members, with which the planner decides nothing.
-class detached_observer final : public cluster::cluster_observer {
-public:
-    objects::object_set_ptr configuration() const override { return nullptr; }
-    cluster::vm_snapshot_ptr vms() const override
-    {
-        return std::make_shared<const cluster::vm_snapshot>();
-    }
-    std::vector<cluster::member_status> members() const override { return {}; }
-};
-
-// The only place that constructs the view of the cluster. The observer that is attached to the
-// local entry at `entry.address` belongs here.
-std::unique_ptr<cluster::cluster_observer> make_observer(const settings& /*settings*/)
-{
-    return std::make_unique<detached_observer>();
-}
-
 // Reads a list of addresses; faults are printed, so that all of them appear in one run.
 bool read_endpoint(const std::string& key, const std::string& text, endpoint& target)
 {
@@ -145,6 +128,8 @@
     valid =
         read_endpoint("platform.address", settings->text("platform.address"), platform_address) &&
         valid;
+    endpoint entry_address;
+    valid = read_endpoint("entry.address", settings->text("entry.address"), entry_address) && valid;
     endpoint metrics_address;
     const bool with_metrics = !settings->text("planner.metrics_address").empty();
     valid = (!with_metrics ||
@@ -160,7 +145,8 @@
     metrics metrics;
     const auto store = store::make_etcd_store(store_options);
     const auto platform = platform::make_http_platform(platform_address);
-    const auto observer = make_observer(*settings);
+    const auto observer = cluster::make_attached_observer(
+        entry_address, settings->text("planner.id"), clock, metrics);
     const std::chrono::seconds ttl(settings->integer("planner.lease_s"));
     // The name is followed by an id, because a restarted planner must not pass for its predecessor.
     store::process_lease lease(*store, clock, settings->text("planner.id") + "/" + new_id(), ttl);
