Test durable requests under faults; find roles taken without an answer

A role that was acquired by a write whose answer was lost stayed without an owner if another entry had become the preferred one: the holder did not know its token, and nobody else could take the key. An entry now checks a role again while the outcome of its acquisition is in doubt.

Requests of a team that is refused, e.g. by its quota, no longer fill the head of a queue in memory.

--- a/src/requests/deferred_queue.cpp
+++ b/src/requests/deferred_queue.cpp
@@ -21,6 +21,10 @@
 // Start marks written ahead while nothing runs yet. A mark that is written but whose request has
 // not run is lost work if the entry dies, so marks are at most doubled with each round.
 constexpr std::size_t min_marking = 8;
+// Requests kept in memory of a team whose requests are refused, and the pause after a page of the
+// queue that held only such requests: 1024 of them are passed over in a second.
+constexpr std::size_t max_loaded_refused = 64;
+constexpr std::chrono::milliseconds skip_pause{250};
 
 } // namespace
 
@@ -142,9 +146,23 @@
     item->bytes = stored.record.body.size();
     item->pass = pass_;
     item->stored = std::move(stored);
+    const auto& team = item->stored.record.team;
+    if (skips(team)) {
+        skipped_ = true;
+        return;
+    }
+    inserted_ = true;
     bytes_ += item->bytes;
+    ++loaded_[team];
     items_[item->stored.record.id] = item;
-    ready_[item->stored.record.team].push_back(item);
+    ready_[team].push_back(item);
+}
+
+bool deferred_queue::skips(const std::string& team) const
+{
+    const auto loaded = loaded_.find(team);
+    return refused_.count(team) > 0 && loaded != loaded_.end() &&
+           loaded->second >= max_loaded_refused;
 }
 
 void deferred_queue::remove(const item_ptr& item)
@@ -154,6 +172,10 @@
     }
     item->state = phase::gone;
     bytes_ -= item->bytes;
+    const auto loaded = loaded_.find(item->stored.record.team);
+    if (--loaded->second == 0) {
+        loaded_.erase(loaded);
+    }
     items_.erase(item->stored.record.id);
 }
 
@@ -201,13 +223,15 @@
     bool from_start = false;
     {
         const std::lock_guard lock(mutex_);
-        if (now >= next_pass_) {
+        if (now >= next_pass_ && !(reading_ && skipped_)) {
             ++pass_;
+            skipped_ = false;
             cursor_.clear();
             gone_.clear();
             next_pass_ = now + period;
         }
         noticed_ = false;
+        inserted_ = false;
         next_notice_ = now + notice_period;
         from_start = cursor_.empty();
     }
@@ -237,6 +261,9 @@
                        : std::max(backlog_, static_cast<std::int64_t>(items_.size()) + unread);
         reading_ = read->more;
         refilling_ = !full();
+        if (skipped_ && !inserted_) {
+            next_read_ = now + skip_pause;
+        }
         ended = !reading_;
     }
     if (ended) {
@@ -477,6 +504,12 @@
     }
     const auto result = context_.engine.execute(make_call(*item));
     const auto& record = item->stored.record;
+    if (result.result == outcome::not_run) {
+        note_refused(record.team);
+    }
+    else {
+        note_run(record.team);
+    }
     switch (result.result) {
     case outcome::answered:
         finish(item, with_answer(record, result));
@@ -496,6 +529,37 @@
     }
 }
 
+void deferred_queue::note_refused(const std::string& team)
+{
+    const std::lock_guard lock(mutex_);
+    refused_.insert(team);
+    const auto ready = ready_.find(team);
+    if (ready == ready_.end()) {
+        return;
+    }
+    // What is dropped here is read again by a later scan.
+    auto& items = ready->second;
+    while (skips(team) && items.size() > 1) {
+        const auto item = items.back();
+        if (item->marked) {
+            return;
+        }
+        items.pop_back();
+        if (item->state == phase::waiting) {
+            remove(item);
+        }
+    }
+}
+
+void deferred_queue::note_run(const std::string& team)
+{
+    const std::lock_guard lock(mutex_);
+    if (refused_.erase(team) > 0) {
+        skipped_ = false;
+        next_pass_ = {};
+    }
+}
+
 void deferred_queue::try_later(const item_ptr& item, std::chrono::milliseconds delay)
 {
     const auto wait = jittered(delay);
--- a/src/requests/deferred_queue.h
+++ b/src/requests/deferred_queue.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,7 +101,11 @@
     bool expired(const records::request_record& record) const;
     std::chrono::milliseconds jittered(std::chrono::milliseconds delay);
 
+    void note_refused(const std::string& team);
+    void note_run(const std::string& team);
+
     // The following require mutex_.
+    bool skips(const std::string& team) const;
     void insert(stored_request stored);
     void remove(const item_ptr& item);
     bool full() const;
@@ -114,6 +119,10 @@
     std::map<std::string, item_ptr> items_;
     std::map<std::string, std::deque<item_ptr>> ready_; // by team
     std::string last_team_;
+    std::map<std::string, std::size_t> loaded_; // requests in items_ by team
+    // Teams whose last request was refused, e.g. by their quota. Few of their requests are kept in
+    // memory, so that those of other teams are read.
+    std::set<std::string> refused_;
     std::multimap<steady_time, item_ptr> delayed_;
     std::size_t bytes_ = 0;
     std::size_t marking_ = 0;
@@ -126,6 +135,8 @@
     std::string cursor_;   // last key read; empty: the start of the queue
     bool reading_ = false; // keys after the cursor have not been read yet
     bool noticed_ = false;
+    bool skipped_ = false;  // this pass has left out requests of refused teams
+    bool inserted_ = false; // the present page has added requests
     bool refilling_ = true; // false after the window was full until it is half empty
     std::int64_t page_ = 0;
     steady_time next_pass_;
--- a/src/requests/durable_requests.cpp
+++ b/src/requests/durable_requests.cpp
@@ -146,6 +146,10 @@
     };
     struct role_state {
         int rounds_not_preferred = 0;
+        // Lease epoch of an acquisition whose outcome is not known: the role may be ours without
+        // a token, and nobody else can take it then.
+        std::int64_t doubtful_epoch = 0;
+        steady_time next_check;
     };
 
     claim_result claim(const call& call, const request_record& record);
@@ -166,7 +170,7 @@
     void run_step();
     void update_roles();
     void update_role(const std::string& service, bool preferred);
-    bool role_is_free(const std::string& role);
+    void try_acquire(const std::string& role, bool preferred, role_state& state);
     std::string preferred_member(const std::vector<cluster::member_status>& members,
                                  const std::string& service) const;
     void finish_work();
@@ -652,11 +656,8 @@
 void durable_implementation::step()
 {
     run_step();
-    for (int flushes = 0; flushes < manual_flushes && log_.commits().flush(); ++flushes) {
-    }
+    log_.commits().flush_if_due();
     executions_.run_posted();
-    for (int flushes = 0; flushes < manual_flushes && log_.commits().flush(); ++flushes) {
-    }
 }
 
 void durable_implementation::run_step()
@@ -689,6 +690,10 @@
     if (!configuration) {
         return;
     }
+    if (lease_.valid()) {
+        // Before a request needs it, so that one granted before an outage serves during it.
+        log_.lease();
+    }
     const auto members = cluster_.members();
     for (const auto& service : configuration->services) {
         update_role(service.name, preferred_member(members, service.name) == cluster_.self());
@@ -715,11 +720,17 @@
     return preferred;
 }
 
-// A read costs less than a write, so a role is only tried for if it is free.
-bool durable_implementation::role_is_free(const std::string& role)
+// A read costs less than a write, so a role is only tried for if it is free, or ours already.
+void durable_implementation::try_acquire(const std::string& role, bool preferred, role_state& state)
 {
     const auto found = log_.scan({records::owners_prefix + role, "", 0});
-    return found && (found->items.empty() || found->items[0].lease == lease_.id());
+    if (!found) {
+        return;
+    }
+    const bool ours = !found->items.empty() && found->items[0].lease == lease_.id();
+    if (ours || (preferred && found->items.empty())) {
+        state.doubtful_epoch = lease_.acquire(role) ? 0 : lease_.epoch();
+    }
 }
 
 void durable_implementation::update_role(const std::string& service, bool preferred)
@@ -731,12 +742,15 @@
         const std::lock_guard lock(queues_mutex_);
         queues_[service] = queue;
     }
-    auto token = lease_.token(role);
     auto& state = roles_[service];
     state.rounds_not_preferred = preferred ? 0 : state.rounds_not_preferred + 1;
-    if (!token && preferred && lease_.valid() && role_is_free(role)) {
-        token = lease_.acquire(role);
+    const auto now = clock_.steady_now();
+    const bool doubtful = state.doubtful_epoch == lease_.epoch() && now >= state.next_check;
+    if (!lease_.token(role) && lease_.valid() && (preferred || doubtful)) {
+        state.next_check = now + jittered(options_.rescan_period);
+        try_acquire(role, preferred, state);
     }
+    const auto token = lease_.token(role);
     const bool leaving = state.rounds_not_preferred >= rounds_until_release;
     queue->set_owned(token && !leaving);
     if (token && leaving && !queue->marking()) {
--- a/src/requests/durable_test_support.h
+++ b/src/requests/durable_test_support.h
@@ -138,6 +138,7 @@
     // Chooses the result of an execution; called before the run is recorded.
     std::function<outcome(const call&)> decide = [](const call&) { return outcome::answered; };
     bool room = true;
+    bool dies_after_run = false; // the entry dies before it learns of the answer
 
     call_result execute(const call& call) override
     {
@@ -148,6 +149,9 @@
         }
         ++ledger_.runs[call.id];
         ledger_.bodies[call.id] = call.body;
+        if (std::exchange(dies_after_run, false)) {
+            throw killed{};
+        }
         result.status = result.result == outcome::answered ? 200 : 504;
         result.content_type = "text/plain";
         result.body = "answer to " + call.body;
@@ -252,7 +256,7 @@
     {
         for (const auto& name : names()) {
             const auto found = entries.find(name);
-            if (found != entries.end() &&
+            if (found != entries.end() && paused.count(name) == 0 &&
                 !found->second->survives([&] { found->second->step(); })) {
                 kill(name);
             }
--- a/src/store/group_commit.cpp
+++ b/src/store/group_commit.cpp
@@ -369,7 +369,9 @@
     if (items.empty()) {
         return false;
     }
+    const auto sent_at = clock_.steady_now();
     send(items);
+    schedule_next(sent_at);
     return true;
 }
 
@@ -505,25 +507,35 @@
     return options_.window_per_member * std::max<std::size_t>(members, 1);
 }
 
-// Half of the delay is random, so that entries that lost the store together do not return together.
-std::chrono::milliseconds group_commit::next_backoff()
+// Sets the time of the next transaction. Half of the delay after a failure is random, so that
+// entries that lost the store together do not return together.
+void group_commit::schedule_next(steady_time sent_at)
 {
+    const auto pause = window();
     const std::lock_guard lock(mutex_);
     std::uniform_int_distribution<std::int64_t> extra(0, backoff_.count() / 2);
-    return backoff_ / 2 + std::chrono::milliseconds(extra(random_));
+    const auto delay = backoff_ / 2 + std::chrono::milliseconds(extra(random_));
+    due_ = sent_at + std::max(pause, delay);
+}
+
+bool group_commit::flush_if_due()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (clock_.steady_now() < due_) {
+            return false;
+        }
+    }
+    return flush();
 }
 
 void group_commit::run()
 {
     for (;;) {
-        const auto started = clock_.steady_now();
-        const bool sent = flush();
-        const auto pause = std::max(sent ? window() : std::chrono::milliseconds{}, next_backoff());
+        flush_if_due();
         std::unique_lock lock(mutex_);
-        if (pause.count() > 0) {
-            const auto left = pause - (clock_.steady_now() - started);
-            changed_.wait_for(lock, left, [this] { return stopping_; });
-        }
+        const auto wait = due_ - clock_.steady_now();
+        changed_.wait_for(lock, wait, [this] { return stopping_; });
         changed_.wait(lock, [this] { return stopping_ || !queue_.empty() || !retries_.empty(); });
         if (stopping_) {
             return;
--- a/src/store/group_commit.h
+++ b/src/store/group_commit.h
@@ -92,6 +92,8 @@
     change_result commit(change change, const change_callback& late = {});
     // Sends one transaction now if changes wait. Returns false if nothing was sent.
     bool flush();
+    // Like flush(), but sends nothing before the next transaction is due.
+    bool flush_if_due();
     std::size_t waiting() const;
 
 private:
@@ -121,7 +123,7 @@
     void retry(const batch& items);
     void finish(const entry_ptr& item, const change_result& result);
     std::chrono::milliseconds window() const;
-    std::chrono::milliseconds next_backoff();
+    void schedule_next(steady_time sent_at);
 
     key_value_store& store_;
     const clock_source& clock_;
@@ -137,6 +139,7 @@
     std::size_t waiting_ = 0;
     std::size_t waiting_bytes_ = 0;
     std::chrono::milliseconds backoff_{};
+    steady_time due_; // of the next transaction
     std::mt19937_64 random_;
     bool stopping_ = false;
     std::mutex flush_mutex_; // one transaction at a time; held during I/O
--- a/src/store/group_commit_test.cpp
+++ b/src/store/group_commit_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -24,6 +25,11 @@
     milliseconds now{1000000};
 };
 
+milliseconds options_default_backoff()
+{
+    return group_commit_options{}.max_backoff;
+}
+
 struct manual_commits {
     explicit manual_commits(group_commit_options options = {})
         : commits(store, clock, configure(std::move(options)), counters)
@@ -226,6 +232,53 @@
     EXPECT_EQ(test.writes(), 0);
 }
 
+// Guards against more than the declared 100 transactions a second from all members together.
+TEST(group_commit, transactions_are_paced_by_the_number_of_members)
+{
+    constexpr int members = 7;
+    group_commit_options options;
+    options.members = [] { return members; };
+    manual_commits test(options);
+    for (int i = 0; i < 1000; ++i) {
+        test.submit("/k" + std::to_string(i), "v", true);
+        test.commits.flush_if_due();
+        test.clock.now += milliseconds(1);
+    }
+    EXPECT_LE(test.writes() * members, 100 + members);
+    EXPECT_GT(test.results.size(), 800U);
+}
+
+// Guards against entries that call a failed store often, and that return to it all at once.
+TEST(group_commit, retries_of_an_outage_are_few_and_spread)
+{
+    std::vector<milliseconds> returns;
+    for (std::uint64_t seed = 1; seed <= 7; ++seed) {
+        test_clock clock;
+        memory_store store(clock);
+        metrics counters;
+        group_commit_options options;
+        options.background = false;
+        options.seed = seed;
+        group_commit commits(store, clock, options, counters);
+        store.inject(store_fault::unavailable);
+        commits.submit({{key_absent("/a")}, {put("/a", "a")}, steady_time::max(), true},
+                       [&](const change_result&) { returns.push_back(clock.now); });
+        const auto end = clock.now + seconds(60);
+        for (; clock.now < end; clock.now += milliseconds(1)) {
+            commits.flush_if_due();
+        }
+        // One call in max_backoff / 2 at most, and some at first while the delay grows.
+        EXPECT_LE(store.counts().writes, 70);
+        store.inject(store_fault::none);
+        for (; commits.waiting() > 0; clock.now += milliseconds(1)) {
+            commits.flush_if_due();
+        }
+    }
+    std::sort(returns.begin(), returns.end());
+    EXPECT_EQ(std::unique(returns.begin(), returns.end()), returns.end());
+    EXPECT_LE(returns.back() - returns.front(), options_default_backoff());
+}
+
 // Guards against data races between callers and the flushing thread, and against lost callbacks.
 TEST(group_commit, concurrent_callers_each_get_their_outcome)
 {
--- a/src/store/retention_lease.h
+++ b/src/store/retention_lease.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <mutex>
 #include <optional>
+#include <random>
 
 #include "base/time.h"
 #include "store/key_value_store.h"
@@ -31,8 +32,11 @@
     const std::chrono::seconds retention_;
     const std::chrono::seconds rotation_;
     std::mutex mutex_;
-    std::mutex granting_;  // one grant at a time; held during I/O
-    steady_time retry_at_; // requires granting_
+    std::mutex granting_; // one grant at a time; held during I/O
+    // The following three require granting_.
+    steady_time retry_at_;
+    std::chrono::milliseconds retry_delay_{};
+    std::mt19937_64 random_;
     std::int64_t lease_ = 0;
     steady_time granted_at_;
 };
