--- a/src/operators/ctl.cpp
+++ b/src/operators/ctl.cpp
@@ -100,6 +100,29 @@
     return true;
 }
 
+// Moves common options in front of the command behind it, because the command decides which
+// options there are. Empty if there is no command.
+std::vector<std::string> command_first(std::vector<std::string> words)
+{
+    std::size_t command = 0;
+    while (command < words.size() && words[command].compare(0, 2, "--") == 0 &&
+           words[command] != "--help") {
+        const auto& common = internal::common_options();
+        const auto name = words[command].substr(2);
+        const bool takes_value =
+            std::any_of(common.begin(), common.end(), [&](const option_spec& option) {
+                return option.name == name && !option.argument.empty();
+            });
+        command += takes_value ? 2 : 1;
+    }
+    if (command >= words.size()) {
+        return {};
+    }
+    std::rotate(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(command),
+                words.begin() + static_cast<std::ptrdiff_t>(command) + 1);
+    return words;
+}
+
 bool is_number(const std::string& text)
 {
     return !text.empty() && text.size() <= 18 &&
@@ -193,8 +216,9 @@
 
 } // namespace
 
-ctl_exit run_ctl(const std::vector<std::string>& arguments, const ctl_environment& environment)
+ctl_exit run_ctl(const std::vector<std::string>& words, const ctl_environment& environment)
 {
+    const auto arguments = command_first(words);
     if (arguments.empty() || arguments.front() == "--help" || arguments.front() == "help") {
         print_help(arguments.empty() ? environment.errors : environment.output);
         return arguments.empty() ? ctl_exit::usage : ctl_exit::done;
--- a/src/operators/session_test.cpp
+++ b/src/operators/session_test.cpp
@@ -291,6 +291,8 @@
     run("ann", {"pause"});
     run("ann", {"status", "--output", "xml"});
     run("ann", {"status", "--server", "somewhere"});
+    run("ann", {"--server", "127.0.0.1:1", "--output=json", "check", "new.json"});
+    run("ann", {"--server", "127.0.0.1:1"});
     run("ann", {"token", "mair", "team:booking"});
     run("ann", {"token", "mair", "reader", "--secret", "s3cret"});
     run("ann", {"token", "mair", "king"});
