--- a/src/bin/admin_main.cpp
+++ b/src/bin/admin_main.cpp
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/program.h"
+#include "cluster/cluster.h"
 #include "http/server.h"
 #include "operators/admin_api.h"
 #include "operators/admin_settings.h"
@@ -14,22 +15,23 @@
 
 namespace {
 
-// Stands in for the view of the cluster until the link to the local jl-entry is available: it
-// knows no entries and no VMs, so no configuration is reported as in force.
-class detached_observer final : public jl::cluster::cluster_observer {
-public:
-    jl::objects::object_set_ptr configuration() const override { return nullptr; }
-    jl::cluster::vm_snapshot_ptr vms() const override
-    {
-        return std::make_shared<const jl::cluster::vm_snapshot>();
-    }
-    std::vector<jl::cluster::member_status> members() const override { return {}; }
-};
+// The only place where the view of the cluster is chosen: it comes from the entry of this VM.
+std::unique_ptr<jl::cluster::cluster_observer> make_observer(const jl::endpoint& entry,
+                                                             jl::metrics& metrics)
+{
+    // Names of attached processes are unique for each entry, and a VM may run one jl-admin only.
+    return jl::cluster::make_attached_observer(entry, "admin", jl::system_clock_source(), metrics);
+}
 
-// The only place where the view of the cluster is chosen.
-std::unique_ptr<jl::cluster::cluster_observer> make_observer(const jl::settings& /*settings*/)
+std::optional<jl::endpoint> read_endpoint(const jl::settings& settings, const std::string& key,
+                                          std::vector<std::string>& errors)
 {
-    return std::make_unique<detached_observer>();
+    auto endpoint = jl::parse_endpoint(settings.text(key));
+    if (!endpoint) {
+        errors.push_back("key \"" + key + "\": expected ADDRESS:PORT, found \"" +
+                         settings.text(key) + "\"");
+    }
+    return endpoint;
 }
 
 std::optional<std::vector<jl::endpoint>> parse_endpoints(const std::vector<std::string>& texts,
@@ -54,11 +56,8 @@
 int run(const jl::settings& settings)
 {
     std::vector<std::string> errors;
-    const auto address = jl::parse_endpoint(settings.text("admin.address"));
-    if (!address) {
-        errors.push_back("key \"admin.address\": expected ADDRESS:PORT, found " +
-                         settings.text("admin.address"));
-    }
+    const auto address = read_endpoint(settings, "admin.address", errors);
+    const auto entry = read_endpoint(settings, "entry.address", errors);
     auto endpoints = parse_endpoints(settings.list("store.endpoints"), errors);
     auto registry =
         jl::operators::operator_registry::from_lines(settings.list("operators"), errors);
@@ -72,8 +71,8 @@
     jl::store::etcd_options store_options;
     store_options.endpoints = std::move(*endpoints);
     const auto store = jl::store::make_etcd_store(std::move(store_options));
-    const auto observer = make_observer(settings);
     jl::metrics metrics;
+    const auto observer = make_observer(*entry, metrics);
     jl::operators::admin_api::options options;
     options.configuration.history_kept = settings.integer("history.generations_kept");
     options.configuration.call_timeout = settings.duration("store.timeout_ms");
--- a/src/operators/admin_api.cpp
+++ b/src/operators/admin_api.cpp
@@ -220,10 +220,7 @@
             call.query[key] = value;
         }
         if (uri.getPath() == "/metrics") {
-            http::response text;
-            text.headers["Content-Type"] = "text/plain; version=0.0.4";
-            text.body = metrics_.to_text();
-            return text;
+            return show_metrics();
         }
         if (uri.getPath() == "/healthz") {
             return answer({{"status", "ok"}});
@@ -255,6 +252,43 @@
     }
 }
 
+// Gauges of the whole cluster for alerts. They come from the observer alone, so that scraping costs
+// no call to the store.
+http::response admin_api::show_metrics()
+{
+    cluster_picture picture;
+    picture.configuration = observer_.configuration();
+    picture.members = observer_.members();
+    const auto snapshot = observer_.vms();
+    picture.vms.reserve(snapshot->vms.size());
+    for (const auto& state : snapshot->vms) {
+        picture.vms.push_back({state, std::nullopt});
+    }
+    for (const auto& service : summarize_services(picture)) {
+        const metric_labels labels = {{"service", service.service}};
+        metrics_.set("jl_service_backlog", "Deferred requests not yet finished", labels,
+                     service.backlog);
+        metrics_.set("jl_service_backlog_limit", "Deferred requests kept at most", labels,
+                     service.max_backlog);
+        metrics_.set("jl_service_waiting", "Calls that wait for a slot", labels, service.waiting);
+        metrics_.set("jl_service_slots", "Slots of usable VMs", labels, service.slots);
+    }
+    for (const auto& headroom : budget_headrooms(picture)) {
+        metrics_.set("jl_budget_left", "VMs that a budget still allows to be unavailable",
+                     {{"budget", headroom.budget}, {"scope", headroom.scope_name}},
+                     headroom.left());
+    }
+    const auto generation = picture.configuration ? picture.configuration->generation : 0;
+    const auto report = report_in_force(generation, picture.members);
+    metrics_.set("jl_entries_alive", "Entries heard of", {}, report.entries);
+    metrics_.set("jl_entries_behind", "Live entries without the newest known generation", {},
+                 static_cast<double>(report.behind.size()));
+    http::response text;
+    text.headers["Content-Type"] = "text/plain; version=0.0.4";
+    text.body = metrics_.to_text();
+    return text;
+}
+
 http::response admin_api::route(const call& call)
 {
     const std::string area = call.path.empty() ? "" : call.path.front();
--- a/src/operators/admin_api.h
+++ b/src/operators/admin_api.h
@@ -41,6 +41,7 @@
     struct call; // a parsed request of an authenticated operator
 
     http::response route(const call& call);
+    http::response show_metrics();
     http::response route_configuration(const call& call);
     http::response get_configuration();
     http::response check(const call& call, bool with_plan);
--- a/src/operators/admin_api_test.cpp
+++ b/src/operators/admin_api_test.cpp
@@ -116,5 +116,27 @@
     EXPECT_EQ(call("GET", "/v1/requests/r2").status, 404);
 }
 
+// Guards against a backlog that grows all night without any metric to alert on.
+TEST_F(admin, exports_the_queues_of_the_cluster)
+{
+    publish();
+    std::vector<objects::object_error> faults;
+    observer.set = std::make_shared<const objects::object_set>(
+        *objects::parse_objects(make_document(), faults));
+    observer.snapshot.vms[0].listed_live = false;
+    observer.statuses = {testing::make_member("entry-1", 0), testing::make_member("entry-2", 0)};
+    observer.statuses[0].loads = {{"rounds", 3, 8, 1, 0}};
+    observer.statuses[1].loads = {{"rounds", 4, 8, 1, 500}};
+    store.memory().inject(standins::store_fault::unavailable);
+    const auto text = api.handle({"GET", "/metrics", {}, ""}).body;
+    for (const char* line :
+         {R"(jl_service_backlog{service="rounds"} 500)",
+          R"(jl_service_waiting{service="rounds"} 7)",
+          R"(jl_service_backlog_limit{service="rounds"} 100000)", "jl_entries_alive 2",
+          R"(jl_budget_left{budget="rounds",scope="rounds"} 0)"}) {
+        EXPECT_THAT(text, HasSubstr(line));
+    }
+}
+
 } // namespace
 } // namespace jl::operators
--- a/src/operators/report.cpp
+++ b/src/operators/report.cpp
@@ -21,7 +21,7 @@
 using internal::plot_series;
 using nlohmann::json;
 
-constexpr const char* queue_metric = "jl_queue_length";       // by class
+constexpr const char* queue_metric = "jl_waiting_calls";      // by class
 constexpr const char* start_metric = "jl_start_seconds";      // histogram, by class
 constexpr const char* step_metric = "jl_planner_steps_total"; // by kind
 
@@ -96,17 +96,23 @@
 
 std::string plot_backlog(const report_input& input)
 {
+    // Calls wait at the entries; deferred requests are kept in the store and counted by the owners
+    // of their queues.
     auto series = sum_by_label(input.samples, queue_metric, "class");
+    plot_series calls{"waiting calls", {}};
+    plot_series deferred{"deferred backlog", {}};
+    for (const auto& sample : input.samples) {
+        const auto totals = add_services(sample.services_json);
+        calls.points.emplace_back(seconds(sample.at), totals.waiting);
+        deferred.points.emplace_back(seconds(sample.at), totals.backlog);
+    }
+    for (auto& line : series) {
+        line.label = "waiting, " + line.label;
+    }
     if (series.empty()) {
-        plot_series calls{"calls waiting (urgent and normal)", {}};
-        plot_series deferred{"deferred backlog", {}};
-        for (const auto& sample : input.samples) {
-            const auto totals = add_services(sample.services_json);
-            calls.points.emplace_back(seconds(sample.at), totals.waiting);
-            deferred.points.emplace_back(seconds(sample.at), totals.backlog);
-        }
-        series = {std::move(calls), std::move(deferred)};
+        series.push_back(std::move(calls));
     }
+    series.push_back(std::move(deferred));
     return line_plot(series, "requests");
 }
 
@@ -189,11 +195,10 @@
 std::string plot_moves(const report_input& input)
 {
     auto series = sum_by_label(input.samples, step_metric, "kind");
-    series.erase(std::remove_if(series.begin(), series.end(),
-                                [](const plot_series& item) {
-                                    return item.label.find("move") == std::string::npos;
-                                }),
-                 series.end());
+    series.erase(
+        std::remove_if(series.begin(), series.end(),
+                       [](const plot_series& item) { return item.label != "change_pool"; }),
+        series.end());
     return series.empty() ? missing(std::string("no ") + step_metric +
                                     " of a move was read; name the planners with --metrics")
                           : line_plot(series, "moves");
