Let a new planner know which entry processes may still have work at a VM

Cause: a planner that had just started waited for the longest request timeout plus 2 s (122 s in the co-op) before its first drain, because entries whose lease had expired before its start were unknown to it. In the quickstart 0 of 40 VMs were maintained after 60 s.

Each entry process now writes /jl/entries/<entry>/<incarnation> without a lease, together with its member record. The planner waits only for processes with such a key and removes it once the process is provably silent; an entry removes its own key at a graceful stop. An entry that has not registered sends nothing unless the platform is down for all, since the planner would not wait for it; the test of an entry restarted without the platform now covers both cases.

Ruled out: budgets (2 of 8 free in every pool) and the wave's period.

--- a/src/cluster/cluster_test.cpp
+++ b/src/cluster/cluster_test.cpp
@@ -96,6 +96,9 @@
     EXPECT_TRUE(entry.read_vm_list());
     EXPECT_EQ(entry.decision(), send_decision::no_view);
     EXPECT_TRUE(entry.read_vm_records());
+    // The planner does not know this process before it has registered.
+    EXPECT_FALSE(entry.may_send());
+    entry.lease_step();
     EXPECT_TRUE(entry.may_send());
     clock.elapsed += 2000ms;
     EXPECT_TRUE(entry.may_send());
--- a/src/cluster/mesh_test.cpp
+++ b/src/cluster/mesh_test.cpp
@@ -342,7 +342,9 @@
     EXPECT_EQ(status_of("c", "a").acknowledgments.size(), 1U);
 }
 
-// Guards a restart during an outage of store and VM list: everything comes from the peers.
+// Guards a restart that cannot reach store and VM list: everything comes from the peers. While the
+// others reach the platform, a planner could stop a VM without waiting for this process, which has
+// not been able to register, so it sends nothing until the platform is down for all.
 TEST_F(mesh_fixture, entry_restarted_without_platform_learns_everything_from_peers)
 {
     write_vm("vm-2", records::vm_phase::leaving);
@@ -356,6 +358,11 @@
     EXPECT_FALSE(restarted.node.may_send());
     advance(1500ms);
     EXPECT_EQ(generation_at("c"), 1);
+    EXPECT_FALSE(restarted.node.may_send());
+    for (const auto* other : {"a", "b", "d", "e"}) {
+        entries.at(other)->cut_from_platform();
+    }
+    advance(3000ms);
     EXPECT_TRUE(restarted.node.may_send());
     ASSERT_EQ(restarted.node.vms()->vms.size(), 2U);
     EXPECT_TRUE(restarted.node.vms()->vms[0].usable());
--- a/src/cluster/node.cpp
+++ b/src/cluster/node.cpp
@@ -74,6 +74,8 @@
     configuration_feed_.watch.reset();
     records_task_.reset();
     records_feed_.watch.reset();
+    lease_task_.reset();
+    registration_.withdraw();
 }
 
 void node::set_in_flight_source(in_flight_source source)
@@ -561,6 +563,11 @@
     if (registration_.superseded()) {
         return false;
     }
+    if (!registration_.registered()) {
+        // The planner does not wait for a process that it does not know. While the platform is down
+        // it stops no VM.
+        return decision() == send_decision::platform_down;
+    }
     const auto confirmed = sending_confirmed_at_.load();
     if (confirmed != 0 && clock_.steady_now().time_since_epoch().count() - confirmed <=
                               steady_time::duration(max_view_age).count()) {
--- a/src/cluster/registration.cpp
+++ b/src/cluster/registration.cpp
@@ -32,6 +32,7 @@
         return false;
     }
     registered_epoch_ = epoch;
+    registered_ = true;
     log_event(log_level::info, "member_registered",
               {{"member", member_.member}, {"lease_epoch", std::to_string(epoch)}});
     return true;
@@ -55,12 +56,30 @@
             return false;
         }
     }
+    const std::string text = records::to_json(member_);
     // A lost answer is resolved by the next attempt: it reads the record again and replaces it.
-    const auto written = store_.commit({{store::unchanged_since(key, revision)},
-                                        {store::put(key, records::to_json(member_), lease_.id())},
-                                        {}},
-                                       clock_.steady_now() + call_limit_);
+    const auto written =
+        store_.commit({{store::unchanged_since(key, revision)},
+                       {store::put(key, text, lease_.id()), store::put(process_key(), text)},
+                       {}},
+                      clock_.steady_now() + call_limit_);
     return written && written->succeeded;
 }
 
+std::string registration::process_key() const
+{
+    return records::entries_prefix + records::process_name(member_);
+}
+
+void registration::withdraw()
+{
+    if (!registered_) {
+        return;
+    }
+    const auto deadline = clock_.steady_now() + call_limit_;
+    store_.commit({{}, {store::remove(process_key())}, {}}, deadline);
+    // Ends the member record and the roles at once; otherwise they would last until expiry.
+    store_.revoke_lease(lease_.id(), deadline);
+}
+
 } // namespace jl::cluster
--- a/src/cluster/registration.h
+++ b/src/cluster/registration.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include "base/metrics.h"
 #include "base/time.h"
@@ -23,12 +24,20 @@
     // answered and the record is in place.
     bool renew();
 
+    // True once the member record has been written. Before, the planner does not know this process,
+    // so it must not send work to targets.
+    bool registered() const { return registered_; }
+
+    // Removes the records at a graceful stop, after the last request has ended.
+    void withdraw();
+
     // True once a process with the same member name and a later start has registered; this process
     // then never registers again.
     bool superseded() const { return superseded_; }
 
 private:
     bool write_record();
+    std::string process_key() const;
 
     store::key_value_store& store_;
     store::process_lease& lease_;
@@ -37,6 +46,7 @@
     const records::member_record member_;
     const std::chrono::milliseconds call_limit_;
     std::int64_t registered_epoch_ = 0;
+    std::atomic<bool> registered_{false};
     std::atomic<bool> superseded_{false};
 };
 
--- a/src/fleet/member_tracker.cpp
+++ b/src/fleet/member_tracker.cpp
@@ -1,23 +1,54 @@
 #include "fleet/member_tracker.h"
 
-namespace jl::fleet {
+#include <iterator>
 
-member_tracker::member_tracker(steady_time started_at) : started_at_(started_at) {}
+namespace jl::fleet {
 
 void member_tracker::observe(const std::vector<cluster::member_status>& members, steady_time now)
 {
     for (const auto& status : members) {
-        last_leased_[status.member.member] = now;
+        last_leased_[records::process_name(status.member)] = now;
     }
 }
 
-void member_tracker::observe_leases(const std::set<std::string>& members, steady_time now)
+void member_tracker::observe_leases(const std::set<std::string>& processes, steady_time now)
 {
-    for (const auto& member : members) {
-        last_leased_[member] = now;
+    for (const auto& process : processes) {
+        last_leased_[process] = now;
     }
 }
 
+void member_tracker::observe_processes(const std::set<std::string>& processes,
+                                       const std::vector<cluster::member_status>& members,
+                                       steady_time now)
+{
+    std::set<std::string> alive;
+    for (const auto& status : members) {
+        if (status.alive) {
+            alive.insert(records::process_name(status.member));
+        }
+    }
+    for (const auto& process : processes) {
+        last_leased_.emplace(process, now);
+    }
+    for (auto at = last_leased_.begin(); at != last_leased_.end();) {
+        const bool present = processes.count(at->first) != 0 || alive.count(at->first) != 0;
+        at = present ? std::next(at) : last_leased_.erase(at);
+    }
+}
+
+std::vector<std::string> member_tracker::silent(steady_time now,
+                                                std::chrono::milliseconds silence) const
+{
+    std::vector<std::string> result;
+    for (const auto& [process, leased_at] : last_leased_) {
+        if (now - leased_at >= silence) {
+            result.push_back(process);
+        }
+    }
+    return result;
+}
+
 std::vector<decisions::entry_view>
 member_tracker::entries(const std::vector<cluster::member_status>& members, steady_time now,
                         std::chrono::milliseconds acknowledgment,
@@ -26,13 +57,13 @@
     std::vector<decisions::entry_view> result;
     std::map<std::string, const cluster::member_status*> statuses;
     for (const auto& status : members) {
-        statuses[status.member.member] = &status;
+        statuses[records::process_name(status.member)] = &status;
     }
-    for (const auto& [member, leased_at] : last_leased_) {
+    for (const auto& [process, leased_at] : last_leased_) {
         decisions::entry_view entry;
-        entry.member = member;
+        entry.member = process;
         entry.provably_silent = now - leased_at >= silence;
-        const auto found = statuses.find(member);
+        const auto found = statuses.find(process);
         if (found != statuses.end()) {
             const auto& status = *found->second;
             entry.live = status.alive && status.report_age <= acknowledgment;
@@ -40,16 +71,11 @@
                 entry.reports[item.vm] = {item.record_revision, item.in_flight};
             }
         }
-        // A former member says nothing about the majority of the present ones.
+        // A former process says nothing about the majority of the present ones.
         if (entry.live || !entry.provably_silent) {
             result.push_back(std::move(entry));
         }
     }
-    if (now - started_at_ < silence) {
-        decisions::entry_view unknown;
-        unknown.member = "(entries that left before this planner started)";
-        result.push_back(std::move(unknown));
-    }
     return result;
 }
 
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -66,12 +66,12 @@
       clock_(clock),
       metrics_(metrics),
       options_(options),
-      tracker_(clock.steady_now()),
       // One watch covers the neighboring prefixes /jl/tasks/, /jl/vms/ and /jl/waves/.
       records_(store, records::tasks_prefix, store::prefix_end(records::waves_prefix)),
       operator_drains_feed_(store, records::operator_drains_prefix,
                             store::prefix_end(records::operator_drains_prefix)),
-      members_feed_(store, records::members_prefix, store::prefix_end(records::members_prefix)),
+      // The neighboring prefixes /jl/entries/ and /jl/members/.
+      members_feed_(store, records::entries_prefix, store::prefix_end(records::members_prefix)),
       tried_at_(clock.steady_now() - options.standby_period)
 {
 }
@@ -124,6 +124,7 @@
         waves_.clear();
         operator_drains_.clear();
         leased_members_.clear();
+        entry_processes_.clear();
         const auto deadline = now + options_.store_timeout;
         if (!records_.load(deadline) || !operator_drains_feed_.load(deadline) ||
             !members_feed_.load(deadline)) {
@@ -176,9 +177,19 @@
     }
     else if (starts_with(key, records::members_prefix)) {
         const auto name = name_after(records::members_prefix);
+        const auto record = records::parse_member(event.item.value);
         leased_members_.erase(name);
-        if (!removed) {
-            leased_members_[name] = event.item.mod_revision;
+        if (!removed && record) {
+            leased_members_[name] = records::process_name(*record);
+        }
+    }
+    else if (starts_with(key, records::entries_prefix)) {
+        const auto process = name_after(records::entries_prefix);
+        if (removed) {
+            entry_processes_.erase(process);
+        }
+        else {
+            entry_processes_.insert(process);
         }
     }
 }
@@ -275,16 +286,30 @@
     snapshot.vms.push_back(std::move(item));
 }
 
+void planner::remove_silent_processes(std::int64_t token, std::chrono::milliseconds silence)
+{
+    const auto now = clock_.steady_now();
+    for (const auto& process : tracker_.silent(now, silence)) {
+        // The watch confirms the removal; until then the process stays known as silent.
+        store_.commit({{store::process_lease::fence(planner_role, token)},
+                       {store::remove(records::entries_prefix + process)},
+                       {}},
+                      now + options_.store_timeout);
+    }
+}
+
 decisions::fleet_snapshot planner::build_snapshot(objects::object_set_ptr configuration,
                                                   std::int64_t token, bool platform_current)
 {
     decisions::fleet_snapshot snapshot;
     const auto now = clock_.steady_now();
     std::set<std::string> leased;
-    for (const auto& [member, revision] : leased_members_) {
-        leased.insert(member);
+    for (const auto& [member, process] : leased_members_) {
+        leased.insert(process);
     }
     tracker_.observe_leases(leased, now);
+    tracker_.observe_processes(entry_processes_, observer_.members(), now);
+    remove_silent_processes(token, silence_limit(*configuration));
     snapshot.entries = tracker_.entries(observer_.members(), now, options_.limits.acknowledgment,
                                         silence_limit(*configuration));
     snapshot.configuration = std::move(configuration);
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,7 @@
     void apply_event(const store::watch_event& event);
     void apply_vm(const std::string& vm, const store::watch_event& event);
     bool read_platform();
+    void remove_silent_processes(std::int64_t token, std::chrono::milliseconds silence);
     decisions::fleet_snapshot build_snapshot(objects::object_set_ptr configuration,
                                              std::int64_t token, bool platform_current);
     void add_vm(decisions::fleet_snapshot& snapshot, const std::string& vm,
@@ -126,7 +128,8 @@
     std::map<std::string, stored_vm> vms_;
     std::map<std::string, records::wave_record> waves_;
     std::map<std::string, records::operator_drain_record> operator_drains_;
-    std::map<std::string, std::int64_t> leased_members_;
+    std::map<std::string, std::string> leased_members_; // process names by member
+    std::set<std::string> entry_processes_;             // keys below /jl/entries/
 
     // Forecasts are learned anew after a planner change; nothing depends on them for safety.
     std::map<std::string, decisions::pool_outlook> outlooks_; // by pool
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -121,6 +121,11 @@
     return parse_name<request_state>(state_names, text);
 }
 
+std::string process_name(const member_record& record)
+{
+    return record.member + "/" + std::to_string(record.incarnation);
+}
+
 std::string to_json(const member_record& record)
 {
     return json{{"member", record.member},
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -13,6 +13,10 @@
 
 inline constexpr const char* configuration_key = "/jl/config/current";
 inline constexpr const char* configuration_history_prefix = "/jl/config/history/";
+// Entry processes that have started and may still have work at a target, with or without a lease.
+// A process removes its key at a graceful stop; the planner removes that of a process that is
+// provably silent.
+inline constexpr const char* entries_prefix = "/jl/entries/";
 inline constexpr const char* members_prefix = "/jl/members/";
 inline constexpr const char* owners_prefix = "/jl/owners/";
 inline constexpr const char* vms_prefix = "/jl/vms/";
@@ -118,6 +122,9 @@
 std::optional<vm_phase> parse_vm_phase(std::string_view text);
 std::optional<request_state> parse_request_state(std::string_view text);
 
+// Name of one process of an entry: "<member>/<incarnation>". It follows entries_prefix in its key.
+std::string process_name(const member_record& record);
+
 std::string to_json(const member_record& record);
 std::string to_json(const vm_record& record);
 std::string to_json(const request_record& record);
