Listen for links in jl-entry and count failed platform calls at once

A failed call to the platform counts immediately, so that during an outage all members know of it by the time their views are 2 s old. The store's reachability for roles keeps a window of two lease renewals.

The library's byte order check is made once before threads start; the thread sanitizer reported a race in it between two transports.

--- a/src/bin/entry_main.cpp
+++ b/src/bin/entry_main.cpp
@@ -118,6 +118,7 @@
 
     jl::cluster::cluster_options cluster_options;
     cluster_options.member = make_member(settings, addresses);
+    cluster_options.peer_listen = addresses.peers;
     const auto cluster =
         jl::cluster::make_cluster(*store, lease, *platform.list, clock, metrics, cluster_options);
 
--- a/src/cluster/liveness.cpp
+++ b/src/cluster/liveness.cpp
@@ -11,7 +11,7 @@
 // acknowledgments of more than half of the members within 2 s.
 bool platform_is_down(const cluster_sight& sight, steady_time now)
 {
-    if (!sight.members_known || within(sight.platform_reached_at, now, max_view_age)) {
+    if (!sight.members_known || sight.reaches_platform) {
         return false;
     }
     int heard = 1;
--- a/src/cluster/liveness.h
+++ b/src/cluster/liveness.h
@@ -30,8 +30,8 @@
     bool configuration_known = false;
     // Last confirmation of the VM view; empty until the VM list and the records have been read.
     std::optional<steady_time> view_confirmed_at;
-    // Last answer of the store or the VM list to this entry itself.
-    std::optional<steady_time> platform_reached_at;
+    // The store or the VM list answers this entry itself.
+    bool reaches_platform = false;
     // False until the member records have been read or a link has been made.
     bool members_known = false;
     // The last known members without this entry.
--- a/src/cluster/node.cpp
+++ b/src/cluster/node.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds min_read_interval{500};
 // Delay before a watch that ended or could not be started is started again.
 constexpr milliseconds watch_retry{1000};
+// Other entries call the store only to renew their lease, every 1.7 s. One late or failed renewal
+// does not make the store unreachable for the roles that follow from it.
+constexpr milliseconds store_contact_limit{4000};
 // Members that poll the VM list are pinged more often: the age of the view depends on them.
 constexpr milliseconds poller_ping_period{500};
 constexpr milliseconds member_ping_period{1000};
@@ -136,10 +139,26 @@
     return clock_.steady_now() + milliseconds(delay(random_));
 }
 
-void node::store_answered(steady_time sent_at)
+void node::note_call(contact& contact, steady_time sent_at, bool answered)
 {
     const std::lock_guard lock(mutex_);
-    advance(store_answered_at_, sent_at);
+    contact.failing = !answered;
+    if (answered) {
+        advance(contact.answered_at, sent_at);
+    }
+}
+
+bool node::store_recently_reached(steady_time now) const
+{
+    return within(store_contact_.answered_at, now, store_contact_limit);
+}
+
+// A failed call counts at once, so that during an outage of the platform all members know of it
+// by the time their views are too old.
+bool node::platform_reachable(steady_time now) const
+{
+    return store_contact_.reached(now, store_contact_limit) ||
+           list_contact_.reached(now, max_view_age);
 }
 
 bool node::selected(const char* duty) const
@@ -176,9 +195,7 @@
 void node::lease_step()
 {
     const auto sent_at = clock_.steady_now();
-    if (registration_.renew()) {
-        store_answered(sent_at);
-    }
+    note_call(store_contact_, sent_at, registration_.renew());
 }
 
 void node::members_step()
@@ -203,10 +220,10 @@
     const std::string prefix = records::members_prefix;
     const auto sent_at = clock_.steady_now();
     const auto result = store_.range({prefix, store::prefix_end(prefix), 0}, call_deadline());
+    note_call(store_contact_, sent_at, result.has_value());
     if (!result) {
         return false;
     }
-    store_answered(sent_at);
     std::vector<records::member_record> members;
     for (const auto& item : result->items) {
         const auto member = records::parse_member(item.value);
@@ -306,10 +323,10 @@
     // The condition keeps the document, up to 1 MB, out of the answer if it has not changed.
     const auto result = store_.commit(
         {{store::unchanged_since(key, known_revision)}, {}, {store::get(key)}}, call_deadline());
+    note_call(store_contact_, sent_at, result.has_value());
     if (!result) {
         return false;
     }
-    store_answered(sent_at);
     {
         const std::lock_guard lock(mutex_);
         feed.read_at = sent_at;
@@ -405,10 +422,10 @@
     const std::string prefix = records::vms_prefix;
     const auto sent_at = clock_.steady_now();
     const auto result = store_.range({prefix, store::prefix_end(prefix), 0}, call_deadline());
+    note_call(store_contact_, sent_at, result.has_value());
     if (!result) {
         return false;
     }
-    store_answered(sent_at);
     std::vector<vm_mark> marks;
     marks.reserve(result->items.size());
     for (const auto& item : result->items) {
@@ -488,6 +505,7 @@
 {
     const auto sent_at = clock_.steady_now();
     const auto list = list_.fetch(call_deadline());
+    note_call(list_contact_, sent_at, list.has_value());
     if (!list) {
         return false;
     }
@@ -497,7 +515,6 @@
         const std::lock_guard lock(mutex_);
         list_loaded_ = true;
         list_feed_.read_at = sent_at;
-        advance(list_answered_at_, sent_at);
         const bool first = table_.list().empty();
         auto change = table_.replace_list(*list);
         if (!change.empty()) {
@@ -546,14 +563,15 @@
 {
     cluster_sight sight;
     sight.configuration_known = configuration_.generation() > 0;
+    const auto now = clock_.steady_now();
     const std::lock_guard lock(mutex_);
     if (list_loaded_ && records_loaded_) {
         sight.view_confirmed_at = view_confirmed_at_;
     }
-    sight.platform_reached_at = std::max(store_answered_at_, list_answered_at_);
+    sight.reaches_platform = platform_reachable(now);
     sight.members_known = members_read_ || !members_.all().empty();
     sight.others = members_.sights();
-    return decide_sending(sight, clock_.steady_now());
+    return decide_sending(sight, now);
 }
 
 bool node::may_send() const
@@ -598,7 +616,7 @@
     status.loads = own_loads();
     status.acknowledgments = acknowledgments();
     const std::lock_guard lock(mutex_);
-    status.store_reachable = within(store_answered_at_, clock_.steady_now(), max_view_age);
+    status.store_reachable = store_recently_reached(clock_.steady_now());
     return status;
 }
 
--- a/src/cluster/node.h
+++ b/src/cluster/node.h
@@ -86,9 +86,19 @@
         steady_time next_watch; // earliest time for a new watch after a failed one
     };
 
+    // Calls to the store or the VM list.
+    struct contact {
+        std::optional<steady_time> answered_at; // start of the last call that was answered
+        bool failing = false;                   // the last call was not answered
+        bool reached(steady_time now, std::chrono::milliseconds limit) const
+        {
+            return !failing && within(answered_at, now, limit);
+        }
+    };
+
     steady_time call_deadline() const;
     steady_time next_backup_poll();
-    void store_answered(steady_time sent_at);
+    void note_call(contact& contact, steady_time sent_at, bool answered);
     bool selected(const char* duty) const;
     std::optional<std::string> take_hint(feed& feed);
     bool must_start_watch(feed& feed, const char* duty);
@@ -99,6 +109,8 @@
     void request_state(const std::string& member, const peers::state_request& request);
 
     // The following require mutex_.
+    bool platform_reachable(steady_time now) const;
+    bool store_recently_reached(steady_time now) const;
     void confirm_view(steady_time at);
     void publish_vms();
     void apply_list_change(const vm_table::list_change& change);
@@ -152,8 +164,8 @@
     member_table members_;
     bool list_loaded_ = false;
     bool records_loaded_ = false;
-    std::optional<steady_time> list_answered_at_;
-    std::optional<steady_time> store_answered_at_;
+    contact list_contact_;
+    contact store_contact_;
     std::optional<steady_time> view_confirmed_at_;
     feed configuration_feed_;
     feed records_feed_;
--- a/src/cluster/node_links.cpp
+++ b/src/cluster/node_links.cpp
@@ -91,9 +91,8 @@
     report.generation = configuration_.generation();
     const auto now = clock_.steady_now();
     const std::lock_guard lock(mutex_);
-    report.store_reachable = within(store_answered_at_, now, max_view_age);
-    report.platform_reachable =
-        report.store_reachable || within(list_answered_at_, now, max_view_age);
+    report.store_reachable = store_recently_reached(now);
+    report.platform_reachable = platform_reachable(now);
     report.view_complete = list_loaded_ && records_loaded_;
     report.known_members = static_cast<int>(members_.all().size()) + 1;
     report.list_digest = table_.list_digest();
--- a/src/peers/websocket_transport.cpp
+++ b/src/peers/websocket_transport.cpp
@@ -7,6 +7,7 @@
 
 #include <asio.hpp>
 #include <websocketpp/client.hpp>
+#include <websocketpp/common/network.hpp>
 #include <websocketpp/concurrency/none.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
@@ -167,6 +168,10 @@
           budget_(options_.budget_bytes_per_second),
           timer_(io_)
     {
+        // The library determines the byte order on first use and keeps it in a plain static
+        // variable, which transports in two threads must not do at once.
+        static const auto byte_order_known = websocketpp::lib::net::_htonll(0);
+        static_cast<void>(byte_order_known);
         server_.init_asio(&io_);
         server_.set_reuse_addr(true);
         configure(server_);
