--- a/bench/flood_bench.cpp
+++ b/bench/flood_bench.cpp
@@ -50,10 +50,10 @@
 std::vector<team_load> make_loads(priority flood_class, milliseconds flood_work)
 {
     return {{"bench-flood", flood_class, flood_work, {"flood", 120, 0}},
-            {"bench-crew", priority::urgent, 50ms, {"crew", 48, 80}},    // 4 slots
-            {"bench-quick", priority::normal, 50ms, {"quick", 80, 160}}, // 8 slots
-            {"bench-batch", priority::normal, 200ms, {"batch", 48, 0}}, // more than its share
-            {"bench-later", priority::deferred, 100ms, {"later", 24, 20}}}; // 2 slots
+            {"bench-crew", priority::urgent, 50ms, {"crew", 48, 80}},      // 4 slots
+            {"bench-quick", priority::normal, 50ms, {"quick", 80, 160}},   // 8 slots
+            {"bench-batch", priority::normal, 200ms, {"batch", 48, 0}},    // more than its share
+            {"bench-later", priority::deferred, 50ms, {"later", 24, 40}}}; // 2 slots
 }
 
 // Divides `total` by weighted max-min fairness: nobody gets more than its demand, and what is left
@@ -96,8 +96,8 @@
     for (std::size_t i = 0; i < loads.size(); ++i) {
         class_demands[static_cast<std::size_t>(loads[i].work_class)] += demands[i];
     }
-    const auto class_shares = max_min_shares(
-        all_slots, class_demands, {class_weights.begin(), class_weights.end()});
+    const auto class_shares =
+        max_min_shares(all_slots, class_demands, {class_weights.begin(), class_weights.end()});
     std::vector<double> shares(loads.size(), 0);
     for (std::size_t index = 0; index < class_weights.size(); ++index) {
         std::vector<std::size_t> members;
@@ -119,7 +119,7 @@
 
 struct flood_figures {
     double other_share_min = 0;
-    double urgent_p99_start_s = 0;
+    std::optional<double> urgent_p99_start_s; // nothing: no urgent call was answered
     json teams = json::object();
 };
 
@@ -142,16 +142,17 @@
     figures.other_share_min = 1e9;
     for (std::size_t i = 0; i < loads.size(); ++i) {
         const double part = shares[i] > 0 ? used[i] / shares[i] : 1;
-        figures.teams[loads[i].team] = {{"fair_slots", shares[i]},
-                                        {"used_slots", used[i]},
-                                        {"failed", results[i].failed}};
+        figures.teams[loads[i].team] = {
+            {"fair_slots", shares[i]}, {"used_slots", used[i]}, {"failed", results[i].failed}};
         if (i != flood_index) {
             figures.other_share_min = std::min(figures.other_share_min, part);
         }
     }
     const double work = std::chrono::duration<double>(loads[urgent_index].work).count();
-    figures.urgent_p99_start_s =
-        std::max(0.0, jl::bench::quantile(results[urgent_index].latencies, 0.99) - work);
+    if (results[urgent_index].answered() > 0) {
+        figures.urgent_p99_start_s =
+            std::max(0.0, jl::bench::quantile(results[urgent_index].latencies, 0.99) - work);
+    }
     return figures;
 }
 
@@ -235,7 +236,7 @@
             const auto result = run_entries(make_loads(flood, work));
             report(figures[name], result);
             share = std::min(share, result.other_share_min);
-            start = std::max(start, result.urgent_p99_start_s);
+            start = std::max(start, result.urgent_p99_start_s.value_or(1e9));
         }
         figures["other_goodput_share_min"] = share;
         figures["urgent_p99_start_s"] = start;
@@ -247,8 +248,7 @@
     }
 
 private:
-    static jl::harness::deployment_options
-    make_options(const jl::bench::bench_arguments& arguments)
+    static jl::harness::deployment_options make_options(const jl::bench::bench_arguments& arguments)
     {
         jl::harness::deployment_options options;
         options.example = arguments.deployment;
@@ -260,7 +260,8 @@
     static void report(json& target, const flood_figures& figures)
     {
         target = {{"other_goodput_share_min", figures.other_share_min},
-                  {"urgent_p99_start_s", figures.urgent_p99_start_s},
+                  {"urgent_p99_start_s",
+                   figures.urgent_p99_start_s ? json(*figures.urgent_p99_start_s) : json()},
                   {"teams", figures.teams}};
     }
 
@@ -297,14 +298,17 @@
     flood_figures run_entries(const std::vector<team_load>& loads)
     {
         constexpr milliseconds warm_up{2500};
-        constexpr milliseconds measured{5000};
+        constexpr milliseconds measured{10000};
+        wait_until_idle();
         const auto end = steady_clock::now() + warm_up + measured;
-        const auto send = [&](std::size_t index, std::mt19937_64& random) {
+        // Every thread keeps one connection to one entry, as callers behind the platform's load
+        // balancer do.
+        const auto send = [&](std::size_t index, int thread, std::mt19937_64&) {
             const auto& load = loads[index];
             const auto timeout = index == flood_index ? flood_timeout : call_timeout;
             const auto left = jl::time_left(end, steady_clock::now()) + 50ms;
             const auto answer = deployment_.call(
-                static_cast<int>(random() % entry_count), choice_.service,
+                thread % entry_count, choice_.service,
                 {{"Jl-Team", load.team},
                  {"Jl-Class", class_names[static_cast<std::size_t>(load.work_class)]},
                  {"Jl-Timeout-Ms", std::to_string(timeout.count())}},
@@ -332,14 +336,23 @@
         for (auto& part : slots) {
             queues.push_back(std::make_unique<fifo_slots>(part));
         }
-        const auto send = [&](std::size_t index, std::mt19937_64&) {
+        // One pool of connections for each target, as in an entry.
+        std::map<jl::endpoint, std::unique_ptr<jl::http::client>> clients;
+        for (const auto& target : targets) {
+            clients[target] = std::make_unique<jl::http::client>(target, jl::http::client_limits{});
+        }
+        const auto send = [&](std::size_t index, int, std::mt19937_64&) {
             auto& queue = *queues[index % queues.size()];
             const auto slot = queue.acquire(std::min(end, steady_clock::now() + flood_timeout));
             if (!slot) {
                 return false;
             }
-            const auto answer = deployment_.request(*slot, "POST", "/" + choice_.service,
-                                                    make_body(loads[index]), {}, call_timeout);
+            jl::http::request request;
+            request.method = "POST";
+            request.target = "/" + choice_.service;
+            request.body = make_body(loads[index]);
+            const auto answer =
+                clients.at(*slot)->exchange(request, steady_clock::now() + call_timeout);
             queue.release(*slot);
             return answer && answer->status == 200;
         };
@@ -348,6 +361,23 @@
             measured);
     }
 
+    // Calls of the phase before, whose callers have gone, must not count in this one.
+    void wait_until_idle() const
+    {
+        const auto is_idle = [&](int entry) {
+            const auto answer =
+                deployment_.request(deployment_.caller_address(entry), "GET", "/metrics");
+            const auto label = "{service=\"" + choice_.service + "\"} 0\n";
+            return answer && answer->body.find("jl_waiting_calls" + label) != std::string::npos &&
+                   answer->body.find("jl_running_calls" + label) != std::string::npos;
+        };
+        for (int entry = 0; entry < entry_count; ++entry) {
+            if (!jl::harness::eventually([&] { return is_idle(entry); }, 8s)) {
+                throw std::runtime_error("an entry still executes calls of the phase before");
+            }
+        }
+    }
+
     static std::vector<jl::bench::load_source> sources_of(const std::vector<team_load>& loads)
     {
         std::vector<jl::bench::load_source> sources;
@@ -368,7 +398,7 @@
         std::ifstream file(deployment_.directory() + "/target-vms.json");
         std::vector<jl::endpoint> targets;
         const auto document = json::parse(file);
-    for (const auto& vm : document.at("vms")) {
+        for (const auto& vm : document.at("vms")) {
             if (vm.at("pool") == choice_.pool) {
                 targets.push_back(*jl::parse_endpoint(vm.at("address").get<std::string>()));
             }
--- a/bench/overhead_bench.cpp
+++ b/bench/overhead_bench.cpp
@@ -76,11 +76,11 @@
     const auto targets = read_targets(deployment, choice.pool);
     const jl::http::header_map headers = {{"Jl-Team", choice.team}};
 
-    const auto through_entry = [&](std::size_t, std::mt19937_64&) {
+    const auto through_entry = [&](std::size_t, int, std::mt19937_64&) {
         const auto answer = deployment.call(0, choice.service, headers, body);
         return answer && answer->status == 200;
     };
-    const auto direct = [&](std::size_t, std::mt19937_64& random) {
+    const auto direct = [&](std::size_t, int, std::mt19937_64& random) {
         const auto answer = deployment.request(targets[random() % targets.size()], "POST",
                                                "/" + choice.service, body);
         return answer && answer->status == 200;
@@ -89,8 +89,8 @@
 
     // The entry uses its slots two report periods after its start, so the first calls wait.
     const double cpu_before = cpu_of();
-    const auto top = jl::bench::run_load({{"top", caller_threads, 0}}, through_entry, 4s, 6s,
-                                         arguments.seed)[0];
+    const auto top =
+        jl::bench::run_load({{"top", caller_threads, 0}}, through_entry, 4s, 6s, arguments.seed)[0];
     const double cpu_used = cpu_of() - cpu_before;
     const double top_rate = static_cast<double>(top.answered()) / 6;
     const double half_rate = top_rate / 2;
--- a/bench/request_load.h
+++ b/bench/request_load.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <cstdlib>
 #include <functional>
@@ -35,8 +36,8 @@
     std::int64_t answered() const { return static_cast<std::int64_t>(latencies.size()); }
 };
 
-// Sends one request of the source and returns whether it was answered.
-using sender = std::function<bool(std::size_t source, std::mt19937_64& random)>;
+// Sends one request of a thread of the source and returns whether it was answered.
+using sender = std::function<bool(std::size_t source, int thread, std::mt19937_64& random)>;
 
 // Value below which `part` of the sorted values lie.
 inline double quantile(std::vector<double> values, double part)
@@ -45,7 +46,7 @@
         return 0;
     }
     const auto last = static_cast<double>(values.size() - 1);
-    const auto index = static_cast<std::ptrdiff_t>(last * part + 0.5);
+    const auto index = static_cast<std::ptrdiff_t>(std::lround(last * part));
     std::nth_element(values.begin(), values.begin() + index, values.end());
     return values[static_cast<std::size_t>(index)];
 }
@@ -70,8 +71,8 @@
                 const auto& spec = sources[source];
                 std::mt19937_64 random(seed * 1000003 + source * 1009 +
                                        static_cast<std::uint64_t>(index));
-                std::exponential_distribution<double> gap(
-                    spec.rate > 0 ? spec.rate / spec.threads : 1);
+                std::exponential_distribution<double> gap(spec.rate > 0 ? spec.rate / spec.threads
+                                                                        : 1);
                 load_result local;
                 auto planned = start;
                 const auto plan_next = [&] {
@@ -90,7 +91,7 @@
                     else {
                         planned = clock::now();
                     }
-                    const bool answered = send(source, random);
+                    const bool answered = send(source, index, random);
                     const auto end = clock::now();
                     if (end >= until) {
                         break;
--- a/src/decisions/admission_queue.cpp
+++ b/src/decisions/admission_queue.cpp
@@ -18,6 +18,10 @@
 constexpr double first_long_share = 0.25;
 constexpr double smoothing = 1.0 / 16;
 
+// Calls are expected to take at least the mean less this many mean deviations.
+constexpr double usual_deviations = 2;
+constexpr std::chrono::seconds durations_valid{10};
+
 // A team whose run times are unknown may use at most this part of the slots until its first call
 // ends; otherwise a first burst of long calls could take every slot.
 constexpr double unknown_part = 0.25;
@@ -122,9 +126,9 @@
     update_protected_peak(now);
     const int long_running = mark_long_running(now);
     std::map<flow*, std::deque<waiting_call>> expired;
-    // Hides expired calls from the choice; they stay counted until their owners remove them.
+    // Hides late calls from the choice; they stay counted until their owners remove them.
     for (auto& [key, flow] : flows_) {
-        while (!flow.waiting.empty() && flow.waiting.front().deadline <= now) {
+        while (!flow.waiting.empty() && is_too_late(flow, flow.waiting.front(), now)) {
             expired[&flow].push_back(flow.waiting.front());
             flow.waiting.pop_front();
         }
@@ -155,7 +159,7 @@
     return started;
 }
 
-void admission_queue::finish(ticket id, steady_time now)
+void admission_queue::finish(ticket id, steady_time now, bool completed)
 {
     const auto found = running_.find(id);
     if (found == running_.end()) {
@@ -165,8 +169,7 @@
     auto& flow = *call.owner;
     const double seconds = std::max(0.0, to_seconds(now - call.started));
     charge(flow, seconds - call.charged_seconds);
-    flow.mean_seconds =
-        flow.known ? flow.mean_seconds + (seconds - flow.mean_seconds) * smoothing : seconds;
+    learn_duration(flow, seconds, completed, now);
     if (!call.counted_long) {
         const bool is_long = now - call.started > limits_.long_after;
         flow.long_share = is_long ? std::max(flow.long_share, first_long_share)
@@ -269,6 +272,33 @@
     return flow.long_share > long_share_threshold;
 }
 
+// A call that starts too late to end in time would use a slot for nothing. If no call has ended for
+// a while, calls start in any case, so that a changed duration is noticed.
+bool admission_queue::is_too_late(const flow& flow, const waiting_call& call, steady_time now)
+{
+    if (call.deadline <= now) {
+        return true;
+    }
+    const double least = flow.mean_seconds - usual_deviations * flow.deviation_seconds;
+    return flow.known && now - flow.learned_at < durations_valid &&
+           to_seconds(call.deadline - now) < least;
+}
+
+void admission_queue::learn_duration(flow& flow, double seconds, bool completed, steady_time now)
+{
+    flow.learned_at = completed ? now : flow.learned_at;
+    if (!completed && seconds < flow.mean_seconds) {
+        return;
+    }
+    if (!flow.known) {
+        flow.mean_seconds = seconds;
+        return;
+    }
+    const double difference = seconds - flow.mean_seconds;
+    flow.mean_seconds += difference * smoothing;
+    flow.deviation_seconds += (std::abs(difference) - flow.deviation_seconds) * smoothing;
+}
+
 // Work for which slots are kept free of long-running work.
 bool admission_queue::is_protected(const flow& flow) const
 {
--- a/src/decisions/admission_queue.h
+++ b/src/decisions/admission_queue.h
@@ -67,11 +67,12 @@
     admission_result enqueue(const admission_request& request, steady_time now);
     // Removes a waiting call; false if it is not waiting.
     bool remove(ticket id);
-    // Chooses the call that gets the next free slot and counts it as running. Skips calls whose
-    // deadline has passed, which their owners remove.
+    // Chooses the call that gets the next free slot and counts it as running. Skips calls that
+    // cannot end by their deadline any more, which their owners remove at the deadline.
     std::optional<ticket> start_next(steady_time now);
-    // Ends a running call.
-    void finish(ticket id, steady_time now);
+    // Ends a running call. `completed` is false if it was cut off, so that its slot time is only a
+    // lower bound of what it needed.
+    void finish(ticket id, steady_time now, bool completed = true);
 
     // True if a deferred call that arrives now would get a free slot soon.
     bool has_room_for_deferred(bool slot_is_free) const;
@@ -101,8 +102,10 @@
         int running = 0;
         double virtual_time = 0;    // slot seconds used per weight
         double mean_seconds = 0.05; // slot time of one call, smoothed
-        double long_share = 0;      // share of calls that were long-running, smoothed
-        bool known = false;         // at least one call has ended or become long-running
+        double deviation_seconds = 0;
+        steady_time learned_at; // end of the last completed call
+        double long_share = 0;  // share of calls that were long-running, smoothed
+        bool known = false;     // at least one call has ended or become long-running
     };
     struct class_state {
         double virtual_time = 0;
@@ -123,6 +126,8 @@
     double weight_of(const flow& flow) const;
     const team_limits& limits_of(const std::string& team) const;
     bool is_long(const flow& flow) const;
+    static bool is_too_late(const flow& flow, const waiting_call& call, steady_time now);
+    static void learn_duration(flow& flow, double seconds, bool completed, steady_time now);
     bool is_protected(const flow& flow) const;
     bool may_start(const flow& flow, int long_running) const;
     int reserved_slots(const flow& flow) const;
--- a/src/decisions/admission_queue_test.cpp
+++ b/src/decisions/admission_queue_test.cpp
@@ -230,6 +230,30 @@
     EXPECT_EQ(queue.waiting(), 0);
 }
 
+// Guards against slots used for calls that are cut off by their deadline, and against a team that
+// is never started again after its calls took longer for a while.
+TEST(admission_queue, starts_no_call_that_cannot_end_in_time)
+{
+    admission_queue queue;
+    queue.set_capacity(4);
+    steady_time now(1h);
+    for (ticket id = 1; id <= 20; ++id) {
+        queue.enqueue({id, work_class::normal, "t", now + 10s}, now);
+        EXPECT_EQ(queue.start_next(now), id);
+        now += 300ms;
+        queue.finish(id, now);
+    }
+    queue.enqueue({21, work_class::normal, "t", now + 100ms}, now);
+    queue.enqueue({22, work_class::normal, "t", now + 1s}, now);
+    EXPECT_EQ(queue.start_next(now), 22U);
+    EXPECT_TRUE(queue.remove(21));
+    now += 1min;
+    queue.enqueue({23, work_class::normal, "t", now + 100ms}, now);
+    EXPECT_EQ(queue.start_next(now), 23U); // the durations are no longer valid
+    queue.finish(22, now);
+    queue.finish(23, now + 100ms, false);
+}
+
 // Guards against a deferred queue that never gets a slot while other classes are flooded, and
 // against one that takes more than its share then.
 TEST(admission_queue, has_room_for_deferred_work_up_to_its_share)
--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -209,6 +209,8 @@
                         report.duration >= min_counted_timeout;
         self.route.excluded.insert(self.slot->vm);
         release(self, report);
+        metrics_.observe("jl_exchange_seconds", "Time from start to end of exchanges with targets",
+                         {{"class", to_text(call.priority)}, {"team", call.team}}, report.duration);
         return answer;
     }
 
@@ -445,8 +447,8 @@
         return unused;
     }
 
-    // Demand of every live entry. Until all of them have reported, all count as equal: an entry that
-    // knew only its own demand would take slots that others use.
+    // Demand of every live entry. Until all of them have reported, all count as equal: an entry
+    // that knew only its own demand would take slots that others use.
     std::vector<decisions::entry_demand>
     collect_demands(const std::vector<cluster::member_status>& members, const std::string& self,
                     const std::string& service) const
@@ -460,11 +462,12 @@
                 continue;
             }
             listed = listed || is_self;
-            const auto load = std::find_if(member.loads.begin(), member.loads.end(),
-                                           [&](const auto& load) { return load.service == service; });
+            const auto load =
+                std::find_if(member.loads.begin(), member.loads.end(),
+                             [&](const auto& load) { return load.service == service; });
             all_reported = all_reported && load != member.loads.end();
-            demands.push_back({member.member.member,
-                               load == member.loads.end() ? 0 : round_up_demand(*load)});
+            demands.push_back(
+                {member.member.member, load == member.loads.end() ? 0 : round_up_demand(*load)});
         }
         if (!listed) {
             demands.push_back({self, 0});
--- a/src/requests/service_router.cpp
+++ b/src/requests/service_router.cpp
@@ -168,7 +168,7 @@
     if (--count->second == 0) {
         in_flight_.erase(count);
     }
-    queue_.finish(call.id, now);
+    queue_.finish(call.id, now, report && report->success);
     if (!report || !report->counts) {
         return;
     }
