--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -218,10 +218,12 @@
     std::optional<call_result> acquire_usable(execution& self)
     {
         for (;;) {
-            refresh_if_changed();
             if (!state_.may_send()) {
                 return refused("vm_view_old", "the VM view is too old to send to targets");
             }
+            if (!is_service_known(self.owner.service)) {
+                refresh();
+            }
             if (auto refusal = acquire(self)) {
                 return refusal;
             }
@@ -237,14 +239,27 @@
 
     bool is_usable(const std::string& vm)
     {
-        refresh_if_changed();
         if (!state_.may_send()) {
             return false;
         }
+        const auto vms = state_.vms();
+        {
+            const std::lock_guard lock(mutex_);
+            if (vms == vms_) {
+                return usable_.count(vm) > 0;
+            }
+        }
+        refresh();
         const std::lock_guard lock(mutex_);
         return usable_.count(vm) > 0;
     }
 
+    bool is_service_known(const std::string& service) const
+    {
+        const std::lock_guard lock(mutex_);
+        return services_.count(service) > 0;
+    }
+
     std::optional<call_result> acquire(execution& self)
     {
         std::unique_lock lock(mutex_);
@@ -365,19 +380,6 @@
         }
     }
 
-    void refresh_if_changed()
-    {
-        const auto vms = state_.vms();
-        const auto configuration = state_.configuration();
-        {
-            const std::lock_guard lock(mutex_);
-            if (vms == vms_ && configuration == configuration_) {
-                return;
-            }
-        }
-        refresh();
-    }
-
     // Takes over the current configuration, VMs and members.
     void refresh()
     {
