--- a/src/requests/durable_failures_test.cpp
+++ b/src/requests/durable_failures_test.cpp
@@ -198,6 +198,23 @@
     EXPECT_EQ(world.queued(), 0U);
 }
 
+// Guards against a planned stop that leaves a request in doubt which has not run.
+TEST(durable_failures, planned_stop_returns_marked_requests_to_the_queue)
+{
+    test_world world;
+    auto& owner = world.start("a");
+    owner.engine.decide = [](const call&) { return outcome::not_run; };
+    world.run(seconds(3));
+    owner.durable->accept_deferred(world.make_call("d1"));
+    world.run(seconds(3));
+    ASSERT_TRUE(owner.durable->cancel({"d1"}).empty()) << "it carries no start mark";
+    world.entries.erase("a");
+    world.start("b");
+    world.run(recovery_time);
+    EXPECT_EQ(world.stored("d1").state, request_state::answered);
+    EXPECT_EQ(world.ledger.runs["d1"], 1);
+}
+
 // Guards against a moved role that leaves the requests in progress in doubt.
 TEST(durable_failures, role_moves_between_live_entries_without_unknown_outcomes)
 {
