--- a/src/fleet/planner_test.cpp
+++ b/src/fleet/planner_test.cpp
@@ -193,6 +193,97 @@
     }
 }
 
+// Delivers chosen writes late: the caller gets "outcome unknown" and the write arrives afterwards.
+class delaying_store final : public store::key_value_store {
+public:
+    explicit delaying_store(standins::memory_store& inner) : inner_(inner) {}
+
+    std::optional<store::transaction_result> commit(const store::transaction& transaction,
+                                                    steady_time deadline) override
+    {
+        const bool grant = !transaction.on_success.empty() &&
+                           transaction.on_success[0].value.find("preparing") != std::string::npos;
+        if (grant && !delayed) {
+            delayed = transaction;
+            return store::internal::fail(store::store_error_code::outcome_unknown, "delayed");
+        }
+        return inner_.commit(transaction, deadline);
+    }
+    std::optional<store::range_result> range(const store::range_request& request,
+                                             steady_time deadline) override
+    {
+        return inner_.range(request, deadline);
+    }
+    std::optional<std::int64_t> grant_lease(std::chrono::seconds ttl, steady_time deadline) override
+    {
+        return inner_.grant_lease(ttl, deadline);
+    }
+    std::optional<std::chrono::seconds> keep_alive(std::int64_t lease,
+                                                   steady_time deadline) override
+    {
+        return inner_.keep_alive(lease, deadline);
+    }
+    bool revoke_lease(std::int64_t lease, steady_time deadline) override
+    {
+        return inner_.revoke_lease(lease, deadline);
+    }
+    std::unique_ptr<store::watch> start_watch(const std::string& key, const std::string& range_end,
+                                              std::int64_t start_revision,
+                                              store::watch_callback callback) override
+    {
+        return inner_.start_watch(key, range_end, start_revision, std::move(callback));
+    }
+
+    std::optional<store::transaction> delayed;
+
+private:
+    standins::memory_store& inner_;
+};
+
+// Guards against a grant whose write is still on its way when the planner reads back and grants
+// another VM: the late write must fail, or both VMs of a pool would be out of service.
+TEST(planner, write_that_arrives_late_has_no_effect)
+{
+    fleet_fixture fleet;
+    delaying_store slow(fleet.store);
+    store::process_lease lease(slow, fleet.clock, "slow", std::chrono::seconds(5));
+    planner subject(slow, lease, fleet.api, fleet.observer, fleet.clock, fleet.metric, {});
+    for (int round = 0; round < 30 && !slow.delayed; ++round) {
+        fleet.clock.advance(milliseconds(1000));
+        lease.renew();
+        fleet.observer.refresh();
+        subject.run_round();
+    }
+    ASSERT_TRUE(slow.delayed.has_value());
+    // The VMs of the late write are not chosen again, so their records do not change.
+    fleet.put(std::string(records::waves_prefix) + "w", R"({"state": "paused"})");
+    for (int round = 0; round < 4; ++round) {
+        fleet.clock.advance(milliseconds(1000));
+        lease.renew();
+        fleet.observer.refresh();
+        subject.run_round();
+    }
+    const auto late = fleet.store.commit(*slow.delayed, {});
+    ASSERT_TRUE(late.has_value());
+    EXPECT_FALSE(late->succeeded);
+}
+
+// Guards against a planner that trusts entries it has never seen, or forgets those it has.
+TEST(member_tracker, entry_is_silent_only_after_the_limit)
+{
+    const steady_time start{};
+    const auto limit = milliseconds(5000);
+    member_tracker tracker(start);
+    tracker.observe_leases({"e1"}, start + milliseconds(1000));
+    const auto entries_at = [&](int now) {
+        return tracker.entries({}, start + milliseconds(now), milliseconds(2000), limit);
+    };
+    EXPECT_EQ(entries_at(2000).size(), 2U) << "the entry and those that are unknown";
+    EXPECT_EQ(entries_at(5500).size(), 1U);
+    EXPECT_FALSE(entries_at(5500)[0].provably_silent);
+    EXPECT_TRUE(entries_at(6500).empty());
+}
+
 // Demand that fills the given number of VMs of a service.
 cluster::service_load load_of(const std::string& service, int vms)
 {
