--- a/src/bin/admin_main.cpp
+++ b/src/bin/admin_main.cpp
@@ -15,6 +15,25 @@
 
 namespace {
 
+// The only place where the view of the cluster is chosen: it comes from the entry of this VM.
+std::unique_ptr<jl::cluster::cluster_observer> make_observer(const jl::endpoint& entry,
+                                                             jl::metrics& metrics)
+{
+    // Names of attached processes are unique for each entry, and a VM may run one jl-admin only.
+    return jl::cluster::make_attached_observer(entry, "admin", jl::system_clock_source(), metrics);
+}
+
+std::optional<jl::endpoint> read_endpoint(const jl::settings& settings, const std::string& key,
+                                          std::vector<std::string>& errors)
+{
+    auto endpoint = jl::parse_endpoint(settings.text(key));
+    if (!endpoint) {
+        errors.push_back("key \"" + key + "\": expected ADDRESS:PORT, found \"" +
+                         settings.text(key) + "\"");
+    }
+    return endpoint;
+}
+
 std::optional<std::vector<jl::endpoint>> parse_endpoints(const std::vector<std::string>& texts,
                                                          std::vector<std::string>& errors)
 {
@@ -37,16 +56,8 @@
 int run(const jl::settings& settings)
 {
     std::vector<std::string> errors;
-    const auto address = jl::parse_endpoint(settings.text("admin.address"));
-    if (!address) {
-        errors.push_back("key \"admin.address\": expected ADDRESS:PORT, found " +
-                         settings.text("admin.address"));
-    }
-    const auto entry = jl::parse_endpoint(settings.text("entry.address"));
-    if (!entry) {
-        errors.push_back("key \"entry.address\": expected ADDRESS:PORT, found " +
-                         settings.text("entry.address"));
-    }
+    const auto address = read_endpoint(settings, "admin.address", errors);
+    const auto entry = read_endpoint(settings, "entry.address", errors);
     auto endpoints = parse_endpoints(settings.list("store.endpoints"), errors);
     auto registry =
         jl::operators::operator_registry::from_lines(settings.list("operators"), errors);
@@ -61,8 +72,7 @@
     store_options.endpoints = std::move(*endpoints);
     const auto store = jl::store::make_etcd_store(std::move(store_options));
     jl::metrics metrics;
-    const auto observer = jl::cluster::make_attached_observer(
-        *entry, "admin " + address->to_string(), jl::system_clock_source(), metrics);
+    const auto observer = make_observer(*entry, metrics);
     jl::operators::admin_api::options options;
     options.configuration.history_kept = settings.integer("history.generations_kept");
     options.configuration.call_timeout = settings.duration("store.timeout_ms");
