--- a/src/operators/admin_api.cpp
+++ b/src/operators/admin_api.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <map>
+#include <set>
 #include <vector>
 
 #include <Poco/Exception.h>
@@ -279,7 +280,7 @@
                      headroom.left());
     }
     const auto generation = picture.configuration ? picture.configuration->generation : 0;
-    const auto report = report_in_force(generation, picture.members);
+    const auto report = report_in_force(generation, picture.members, {});
     metrics_.set("jl_entries_alive", "Entries heard of", {}, report.entries);
     metrics_.set("jl_entries_behind", "Live entries without the newest known generation", {},
                  static_cast<double>(report.behind.size()));
@@ -483,17 +484,26 @@
     if (!picture) {
         return unavailable();
     }
+    const auto stored_members =
+        read_range(records::members_prefix, store::prefix_end(records::members_prefix));
+    if (!stored_members) {
+        return unavailable();
+    }
+    std::set<std::string> registered;
+    for (const auto& item : stored_members->items) {
+        registered.insert(item.key.substr(std::string_view(records::members_prefix).size()));
+    }
     std::map<std::string, std::map<std::string, int>> pools;
     for (const auto& vm : picture->vms) {
         ++pools[vm.state.pool]
                [vm.state.listed_live ? records::to_text(vm.state.phase) : "not_listed"];
     }
-    return answer(
-        {{"configuration", api_json(report_in_force(current->generation, picture->members))},
-         {"members", api_json_list(picture->members)},
-         {"pools", pools},
-         {"waves", api_json_list(wave_progresses(*picture))},
-         {"drains", api_json_list(picture->drains)}});
+    return answer({{"configuration",
+                    api_json(report_in_force(current->generation, picture->members, registered))},
+                   {"members", api_json_list(picture->members)},
+                   {"pools", pools},
+                   {"waves", api_json_list(wave_progresses(*picture))},
+                   {"drains", api_json_list(picture->drains)}});
 }
 
 http::response admin_api::budgets()
--- a/src/operators/view.cpp
+++ b/src/operators/view.cpp
@@ -338,14 +338,17 @@
 }
 
 in_force_report report_in_force(std::int64_t stored_generation,
-                                const std::vector<cluster::member_status>& members)
+                                const std::vector<cluster::member_status>& members,
+                                const std::set<std::string>& registered)
 {
+    auto unheard = registered;
     in_force_report report;
     report.generation = stored_generation;
     for (const auto& member : members) {
         if (!member.alive) {
             continue;
         }
+        unheard.erase(member.member.member);
         ++report.entries;
         // A higher generation was published after the store was read.
         if (member.generation >= stored_generation) {
@@ -356,6 +359,10 @@
                                     std::to_string(member.generation) + ")");
         }
     }
+    report.entries += static_cast<int>(unheard.size());
+    for (const auto& member : unheard) {
+        report.behind.push_back(member + " (not heard of)");
+    }
     return report;
 }
 
--- a/src/operators/view_test.cpp
+++ b/src/operators/view_test.cpp
@@ -114,15 +114,19 @@
 // that no entry is known to have.
 TEST(report_in_force, needs_every_live_entry)
 {
-    EXPECT_FALSE(report_in_force(3, {}).in_force());
+    EXPECT_FALSE(report_in_force(3, {}, {}).in_force());
     auto dead = testing::make_member("entry-3", 1);
     dead.alive = false;
     const std::vector members = {testing::make_member("entry-1", 3),
                                  testing::make_member("entry-2", 2), dead};
-    auto report = report_in_force(3, members);
+    auto report = report_in_force(3, members, {});
     EXPECT_FALSE(report.in_force());
     EXPECT_THAT(report.behind, ElementsAre("entry-2 (generation 2)"));
-    EXPECT_TRUE(report_in_force(2, members).in_force());
+    EXPECT_TRUE(report_in_force(2, members, {"entry-1", "entry-2"}).in_force());
+    report = report_in_force(2, members, {"entry-1", "entry-4"});
+    EXPECT_FALSE(report.in_force());
+    EXPECT_EQ(report.entries, 3);
+    EXPECT_THAT(report.behind, ElementsAre("entry-4 (not heard of)"));
 }
 
 } // namespace
