--- a/src/operators/session_test.cpp
+++ b/src/operators/session_test.cpp
@@ -1,6 +1,8 @@
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <map>
+#include <regex>
 #include <sstream>
 
 #include <gtest/gtest.h>
@@ -340,6 +342,33 @@
     compare_with_file("docs/reference/admin-settings.md", describe_admin_settings());
 }
 
+// Guards against alerts that can never fire because no process exports their metric.
+TEST(alert_rules, name_metrics_that_exist)
+{
+    std::string sources;
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(std::string(JL_SOURCE_DIR) + "/src")) {
+        const auto path = entry.path().string();
+        if (entry.path().extension() == ".cpp" && path.find("_test") == std::string::npos) {
+            const std::ifstream file(path);
+            std::ostringstream text;
+            text << file.rdbuf();
+            sources += text.str();
+        }
+    }
+    const auto rules = read_source("docs/operations/alerts.yml");
+    const std::regex metric("jl_[a-z_]+");
+    int found = 0;
+    for (std::sregex_iterator match(rules.begin(), rules.end(), metric), end; match != end;
+         ++match) {
+        // Histograms export series with these endings.
+        const auto name = std::regex_replace(match->str(), std::regex("_(bucket|count|sum)$"), "");
+        EXPECT_NE(sources.find('"' + name + '"'), std::string::npos) << name;
+        ++found;
+    }
+    EXPECT_GT(found, 20);
+}
+
 // Guards against examples that the checker refuses.
 TEST(examples, are_valid)
 {
