--- a/src/operators/view.cpp
+++ b/src/operators/view.cpp
@@ -96,6 +96,25 @@
     return covering;
 }
 
+// Drains start only while every entry that may still send work can acknowledge them.
+std::vector<std::string> entry_reasons(const cluster_picture& picture)
+{
+    std::vector<std::string> reasons;
+    std::size_t alive = 0;
+    for (const auto& member : picture.members) {
+        if (member.alive) {
+            ++alive;
+        }
+        else {
+            reasons.push_back("entry " + member.member.member + " is not heard of");
+        }
+    }
+    if (alive * 2 <= picture.members.size()) {
+        reasons.emplace_back("not more than half of the entries are alive");
+    }
+    return reasons;
+}
+
 std::vector<std::string> blocking_reasons(const cluster_picture& picture,
                                           const std::vector<budget_headroom>& headrooms,
                                           const wave_progress& wave)
@@ -109,9 +128,10 @@
     if (picture.now < wave.period_start) {
         return {"the first period has not started"};
     }
-    std::vector<std::string> reasons;
-    bool drainable = false;
+    auto reasons = entry_reasons(picture);
+    const bool entries_ready = reasons.empty();
     int candidates = 0;
+    int unblocked = 0;
     for (const auto& vm : picture.vms) {
         if (!selects(wave, vm.state.pool) || maintained_since(vm, wave.period_start) ||
             !available(vm)) {
@@ -129,9 +149,9 @@
                 reasons.push_back(std::move(reason));
             }
         }
-        drainable = drainable || !blocked;
+        unblocked += blocked ? 0 : 1;
     }
-    if (drainable || candidates == 0) {
+    if (candidates == 0 || (entries_ready && unblocked > 0)) {
         return {};
     }
     return reasons;
--- a/src/operators/view_test.cpp
+++ b/src/operators/view_test.cpp
@@ -23,6 +23,7 @@
         const auto number = std::to_string(index);
         picture.vms.push_back({testing::make_vm("vm-" + number, "rounds", "rack-1", "dc-1"), {}});
     }
+    picture.members = {testing::make_member("entry-1", 1)};
     picture.now = period_start + std::chrono::hours(1);
     return picture;
 }
@@ -65,6 +66,17 @@
     EXPECT_THAT(wave_progresses(picture)[0].blocking, ElementsAre("paused by ann"));
 }
 
+// Guards against an explanation that is silent about an entry that holds up all drains.
+TEST(wave_progresses, names_entries_that_cannot_acknowledge)
+{
+    auto picture = make_picture();
+    picture.members.push_back(testing::make_member("entry-2", 1));
+    picture.members.back().alive = false;
+    EXPECT_THAT(wave_progresses(picture)[0].blocking,
+                ElementsAre("entry entry-2 is not heard of",
+                            "not more than half of the entries are alive"));
+}
+
 // Guards against counting maintenance of an earlier period.
 TEST(wave_progresses, counts_the_current_period_only)
 {
