--- a/src/operators/report.cpp
+++ b/src/operators/report.cpp
@@ -25,6 +25,10 @@
 constexpr const char* start_metric = "jl_start_seconds";      // histogram, by class
 constexpr const char* step_metric = "jl_planner_steps_total"; // by kind
 
+constexpr double no_bound = 1e9;
+// Shorter bounds of the histogram tell nothing about the promise of 4.4 s.
+constexpr double shortest_start_s = 0.05;
+
 constexpr const char* style = R"(
 body{font:15px/1.45 system-ui,sans-serif;max-width:720px;margin:24px auto;padding:0 16px;color:#222}
 h1{font-size:22px}h2{font-size:17px;margin:28px 0 6px}
@@ -133,10 +137,19 @@
 {
     const auto found = sample.labels.find("le");
     return found == sample.labels.end() || found->second == "+Inf"
-               ? 1e9
+               ? no_bound
                : std::strtod(found->second.c_str(), nullptr);
 }
 
+std::string describe_bound(double seconds)
+{
+    if (seconds >= no_bound) {
+        return "all";
+    }
+    return seconds < 1 ? "within " + format_number(seconds * 1000) + " ms"
+                       : "within " + format_number(seconds) + " s";
+}
+
 std::string plot_urgent_starts(const report_input& input)
 {
     std::map<double, double> counts; // cumulative count by upper bound
@@ -156,8 +169,9 @@
     std::vector<plot_bar> bars;
     for (const auto& [bound, count] : counts) {
         const auto share = total > 0 ? 100 * count / total : 100;
-        bars.push_back({bound < 1e9 ? "within " + format_number(bound) + " s" : "all", count, total,
-                        format_number(share) + "%"});
+        if (bound >= shortest_start_s) {
+            bars.push_back({describe_bound(bound), count, total, format_number(share) + "%"});
+        }
     }
     return bar_plot(bars);
 }
