--- a/src/operators/view.h
+++ b/src/operators/view.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,15 +85,18 @@
 // Which generation each entry has in force.
 struct in_force_report {
     std::int64_t generation = 0; // in the store
-    int entries = 0;             // alive
+    int entries = 0;             // alive or registered
     int acknowledged = 0;        // alive and at this generation
     std::vector<std::string> behind;
     // False also without any entry: nothing is known then.
     bool in_force() const { return entries > 0 && acknowledged == entries; }
 };
 
+// `registered` are the entries with a member record in the store: an entry that the local entry has
+// not heard of may serve an older generation, so it counts as behind.
 in_force_report report_in_force(std::int64_t stored_generation,
-                                const std::vector<cluster::member_status>& members);
+                                const std::vector<cluster::member_status>& members,
+                                const std::set<std::string>& registered);
 
 // Load of one service over all live entries.
 struct service_summary {
