--- a/src/fleet/planner_test.cpp
+++ b/src/fleet/planner_test.cpp
@@ -268,20 +268,50 @@
     EXPECT_FALSE(late->succeeded);
 }
 
-// Guards against a planner that trusts entries it has never seen, or forgets those it has.
-TEST(member_tracker, entry_is_silent_only_after_the_limit)
+// Guards against a planner that forgets entry processes that may still have work at a VM: one that
+// it has seen, and one whose lease expired before it started, known from its key alone.
+TEST(member_tracker, process_is_silent_only_after_the_limit)
 {
     const steady_time start{};
     const auto limit = milliseconds(5000);
-    member_tracker tracker(start);
-    tracker.observe_leases({"e1"}, start + milliseconds(1000));
+    member_tracker tracker;
+    const std::set<std::string> keys = {"e1/1", "e2/1"};
+    tracker.observe_leases({"e1/1"}, start + milliseconds(1000));
+    tracker.observe_processes(keys, {}, start + milliseconds(1500));
     const auto entries_at = [&](int now) {
         return tracker.entries({}, start + milliseconds(now), milliseconds(2000), limit);
     };
-    EXPECT_EQ(entries_at(2000).size(), 2U) << "the entry and those that are unknown";
-    EXPECT_EQ(entries_at(5500).size(), 1U);
+    ASSERT_EQ(entries_at(5500).size(), 2U);
     EXPECT_FALSE(entries_at(5500)[0].provably_silent);
+    EXPECT_FALSE(entries_at(5500)[1].provably_silent);
+    EXPECT_TRUE(tracker.silent(start + milliseconds(5500), limit).empty());
+    EXPECT_EQ(entries_at(6200).size(), 1U);
+    EXPECT_EQ(tracker.silent(start + milliseconds(6200), limit), std::vector<std::string>{"e1/1"});
     EXPECT_TRUE(entries_at(6500).empty());
+    // A graceful stop removes the key, and the wait ends.
+    tracker.observe_leases({"e3/1"}, start + milliseconds(7000));
+    tracker.observe_processes({"e1/1", "e2/1"}, {}, start + milliseconds(7100));
+    EXPECT_TRUE(entries_at(7200).empty());
+}
+
+// Guards against waiting for a new process under the name of an old one, or the reverse: the old
+// one may have work at a VM although the new one has none.
+TEST(member_tracker, processes_of_one_entry_are_told_apart)
+{
+    const steady_time start{};
+    member_tracker tracker;
+    cluster::member_status restarted;
+    restarted.member.member = "e1";
+    restarted.member.incarnation = 2;
+    restarted.alive = true;
+    tracker.observe_leases({"e1/1"}, start);
+    tracker.observe({restarted}, start + milliseconds(1000));
+    tracker.observe_processes({"e1/1"}, {restarted}, start + milliseconds(1000));
+    const auto entries = tracker.entries({restarted}, start + milliseconds(1000),
+                                         milliseconds(2000), milliseconds(5000));
+    ASSERT_EQ(entries.size(), 2U);
+    EXPECT_FALSE(entries[0].live);
+    EXPECT_TRUE(entries[1].live);
 }
 
 // Demand that fills the given number of VMs of a service.
