Learn durations from completed calls only

Calls of 2.5 s were marked long-running at 2.0 s, and the mean then rose by a sixteenth of the difference per call, while calls with less time left than they needed were started and cut off.

--- a/src/decisions/admission_queue.cpp
+++ b/src/decisions/admission_queue.cpp
@@ -284,19 +284,23 @@
            to_seconds(call.deadline - now) < least;
 }
 
+// The first completed call replaces the initial guess, and a cut-off call only raises the mean: it
+// would otherwise widen the deviation, and later calls would be started too late again.
 void admission_queue::learn_duration(flow& flow, double seconds, bool completed, steady_time now)
 {
-    flow.learned_at = completed ? now : flow.learned_at;
-    if (!completed && seconds < flow.mean_seconds) {
+    const double difference = seconds - flow.mean_seconds;
+    if (!completed) {
+        flow.mean_seconds += std::max(difference, 0.0) * smoothing;
         return;
     }
-    if (!flow.known) {
+    if (flow.learned_at == steady_time()) {
         flow.mean_seconds = seconds;
-        return;
     }
-    const double difference = seconds - flow.mean_seconds;
-    flow.mean_seconds += difference * smoothing;
-    flow.deviation_seconds += (std::abs(difference) - flow.deviation_seconds) * smoothing;
+    else {
+        flow.mean_seconds += difference * smoothing;
+        flow.deviation_seconds += (std::abs(difference) - flow.deviation_seconds) * smoothing;
+    }
+    flow.learned_at = now;
 }
 
 // Work for which slots are kept free of long-running work.
--- a/src/decisions/admission_queue_test.cpp
+++ b/src/decisions/admission_queue_test.cpp
@@ -254,6 +254,25 @@
     queue.finish(23, now + 100ms, false);
 }
 
+// Guards against slow learning of long durations: calls became long-running before their end, and
+// the mean then approached the real duration in small steps while calls were cut off.
+TEST(admission_queue, learns_a_long_duration_from_the_first_completed_call)
+{
+    admission_queue queue;
+    queue.set_capacity(8);
+    const steady_time now(1h);
+    queue.enqueue({1, work_class::normal, "t", now + 10s}, now);
+    EXPECT_EQ(queue.start_next(now), 1U);
+    queue.enqueue({2, work_class::normal, "t", now + 4900ms}, now);
+    queue.enqueue({3, work_class::normal, "t", now + 10s}, now);
+    EXPECT_EQ(queue.start_next(now + 2100ms), 2U); // marks the first call as long-running
+    queue.finish(1, now + 2500ms);
+    queue.finish(2, now + 4600ms, true);
+    queue.enqueue({4, work_class::normal, "t", now + 7s}, now + 4600ms);
+    EXPECT_EQ(queue.start_next(now + 4600ms), 3U);
+    EXPECT_EQ(queue.start_next(now + 4600ms), std::nullopt); // 2.4 s left, 2.5 s needed
+}
+
 // Guards against a deferred queue that never gets a slot while other classes are flooded, and
 // against one that takes more than its share then.
 TEST(admission_queue, has_room_for_deferred_work_up_to_its_share)
