Make control calls of the harness fail loudly and repair the failed-VM test

The test iterated over a destroyed temporary and never saw the VM as down. It also slept for six seconds; it now waits for six planning rounds.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <map>
+#include <sstream>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -30,9 +31,8 @@
     return options;
 }
 
-// The example's objects with a wave over the pool "rounds" that starts now, and a budget of one
-// unavailable VM for its service.
-std::string document_with_wave(const deployment& deployment)
+// The example's objects without its wave, and with one budget: one unavailable VM of "rounds".
+json document_without_wave(const deployment& deployment)
 {
     auto document = json::parse(deployment.example_document());
     json kept = json::array();
@@ -51,15 +51,39 @@
                     {"scope", "service"},
                     {"scope_name", "rounds"},
                     {"max_unavailable", 1}});
-    kept.push_back({{"kind", "maintenance_wave"},
-                    {"name", "now"},
-                    {"pools", {"rounds"}},
-                    {"period_hours", 840},
-                    {"starts_at_unix_s", 1}});
     document["objects"] = kept;
+    return document;
+}
+
+// The same with a wave over the pool "rounds" that starts now.
+std::string document_with_wave(const deployment& deployment)
+{
+    auto document = document_without_wave(deployment);
+    document["objects"].push_back({{"kind", "maintenance_wave"},
+                                   {"name", "now"},
+                                   {"pools", {"rounds"}},
+                                   {"period_hours", 840},
+                                   {"starts_at_unix_s", 1}});
     return document.dump();
 }
 
+// Planning rounds done by all planners.
+int planning_rounds(const deployment& deployment)
+{
+    int rounds = 0;
+    for (int index = 0; index < 3; ++index) {
+        const auto answer =
+            deployment.request(deployment.planner_metrics_address(index), "GET", "/metrics");
+        std::istringstream lines(answer ? answer->body : "");
+        for (std::string line; std::getline(lines, line);) {
+            if (line.rfind("jl_planner_rounds_total{outcome=\"done\"}", 0) == 0) {
+                rounds += static_cast<int>(std::stod(line.substr(line.rfind(' '))));
+            }
+        }
+    }
+    return rounds;
+}
+
 std::map<std::string, records::vm_record> read_records(deployment& deployment)
 {
     std::map<std::string, records::vm_record> result;
@@ -182,9 +206,12 @@
 {
     deployment deployment(planner_deployment());
     deployment.start();
+    deployment.publish(document_without_wave(deployment).dump());
     // All VMs need a record before one fails, or the planner would not know it.
     ASSERT_TRUE(eventually(
         [&] { return read_records(deployment).size() == deployment.vms().size(); }, 30s));
+    ASSERT_TRUE(
+        eventually([&] { return unavailable_in(read_records(deployment), "rounds") == 0; }, 30s));
     deployment.vm_control("rounds-1", "fail");
     // The failure must have reached the VM list, which lags, before the wave starts.
     ASSERT_TRUE(eventually([&] {
@@ -192,17 +219,17 @@
         if (!list) {
             return false;
         }
-        for (const auto& vm : json::parse(list->body).at("vms")) {
+        const auto document = json::parse(list->body);
+        for (const auto& vm : document.at("vms")) {
             if (vm.at("vm") == "rounds-1") {
                 return vm.at("state") == "down";
             }
         }
         return false;
     }));
-    const auto generation = deployment.publish(document_with_wave(deployment));
-    EXPECT_GT(generation, 1);
-    // Six planning rounds under the new generation.
-    std::this_thread::sleep_for(6s);
+    deployment.publish(document_with_wave(deployment));
+    const int rounds_before = planning_rounds(deployment);
+    ASSERT_TRUE(eventually([&] { return planning_rounds(deployment) >= rounds_before + 6; }, 30s));
     EXPECT_EQ(unavailable_in(read_records(deployment), "rounds"), 0);
     deployment.vm_control("rounds-1", "repair");
     EXPECT_TRUE(eventually(
--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -198,10 +198,13 @@
         if (options_.planners) {
             member planner;
             planner.name = "planner-" + std::to_string(index);
-            json settings = {{"planner", {{"id", planner.name}}},
-                             {"entry", {{"address", entry_peer}}},
-                             {"store", {{"endpoints", {platform}}}},
-                             {"platform", {{"address", platform}}}};
+            planner.address = free_endpoint();
+            json settings = {
+                {"planner",
+                 {{"id", planner.name}, {"metrics_address", planner.address.to_string()}}},
+                {"entry", {{"address", entry_peer}}},
+                {"store", {{"endpoints", {platform}}}},
+                {"platform", {{"address", platform}}}};
             settings.merge_patch(options_.planner_settings);
             planner.settings_path = write_file(planner.name + ".json", settings.dump(1));
             planners_.push_back(std::move(planner));
@@ -319,45 +322,52 @@
                    headers, timeout);
 }
 
+// Throws if the call fails: a fault that was not injected would make a test pass for nothing.
+http::response deployment::control(const endpoint& server, const std::string& method,
+                                   const std::string& path, const std::string& body) const
+{
+    const auto answer = request(server, method, path, body);
+    if (!answer || answer->status != 200) {
+        throw std::runtime_error(method + " " + path + " failed: " +
+                                 (answer ? answer->body : http::client::last_error().message));
+    }
+    return *answer;
+}
+
 void deployment::proxy_control(const std::string& route, const json& fault) const
 {
-    request(proxy_control_, "POST", "/control/" + route, fault.dump());
+    control(proxy_control_, "POST", "/control/" + route, fault.dump());
 }
 
 void deployment::proxy_action(const std::string& route, const std::string& action) const
 {
-    request(proxy_control_, "POST", "/control/" + route + "/" + action);
+    control(proxy_control_, "POST", "/control/" + route + "/" + action);
 }
 
 void deployment::store_fault(const json& fault) const
 {
-    request(platform_address_, "POST", "/control/store", fault.dump());
+    control(platform_address_, "POST", "/control/store", fault.dump());
 }
 
 json deployment::store_counts() const
 {
-    const auto answer = request(platform_address_, "GET", "/control/store");
-    return answer ? json::parse(answer->body, nullptr, false) : json();
+    return json::parse(control(platform_address_, "GET", "/control/store").body);
 }
 
 void deployment::vm_control(const std::string& vm, const std::string& action) const
 {
-    request(platform_address_, "POST", "/control/vms/" + vm + "/" + action);
+    control(platform_address_, "POST", "/control/vms/" + vm + "/" + action);
 }
 
 void deployment::target_control(const std::string& vm, const std::string& action) const
 {
-    request(target_control_, "POST", "/control/vms/" + vm + "/" + action);
+    control(target_control_, "POST", "/control/vms/" + vm + "/" + action);
 }
 
 std::map<std::string, deployment::execution> deployment::ledger() const
 {
     std::map<std::string, execution> entries;
-    const auto answer = request(target_control_, "GET", "/control/ledger");
-    if (!answer) {
-        throw std::runtime_error("the targets' ledger cannot be read");
-    }
-    std::istringstream lines(answer->body);
+    std::istringstream lines(control(target_control_, "GET", "/control/ledger").body);
     std::string token;
     execution entry;
     while (lines >> token >> entry.starts >> entry.finishes >> entry.vm) {
@@ -368,8 +378,7 @@
 
 json deployment::target_summary() const
 {
-    const auto answer = request(target_control_, "GET", "/control/summary");
-    return answer ? json::parse(answer->body, nullptr, false) : json();
+    return json::parse(control(target_control_, "GET", "/control/summary").body);
 }
 
 void deployment::restart_entry(int index)
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -99,6 +99,7 @@
 
     endpoint caller_address(int entry) const { return entries_.at(entry).address; }
     endpoint admin_address(int index) const { return admins_.at(index).address; }
+    endpoint planner_metrics_address(int index) const { return planners_.at(index).address; }
     endpoint platform_address() const { return platform_address_; }
     std::vector<std::string> vms() const { return vm_names_; }
     store::key_value_store& store() { return *store_; }
@@ -107,12 +108,14 @@
 private:
     struct member {
         std::string name;
-        endpoint address; // callers' or operators' port
+        endpoint address; // callers' or operators' port, or that of a planner's metrics
         endpoint peer_address;
         std::string settings_path;
         std::unique_ptr<child_process> process;
     };
 
+    http::response control(const endpoint& server, const std::string& method,
+                           const std::string& path, const std::string& body = "") const;
     std::string write_file(const std::string& name, const std::string& text) const;
     std::unique_ptr<child_process> launch(const std::string& program, const std::string& name,
                                           const std::string& settings_path) const;
