--- a/src/objects/fields.cpp
+++ b/src/objects/fields.cpp
@@ -163,7 +163,9 @@
          1,
          max_timeout_ms,
          {},
-         "longest deadline a caller may ask for"},
+         "longest deadline a caller may ask for; a planner that takes over starts no drain before "
+         "the "
+         "longest of these has passed, because requests of lost entries may still run"},
         {"service",
          "max_backlog",
          integer,
--- a/src/operators/admin_api.cpp
+++ b/src/operators/admin_api.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <map>
 #include <set>
+#include <sstream>
 #include <vector>
 
 #include <Poco/Exception.h>
@@ -26,16 +27,19 @@
     std::map<std::string, std::string> query;
     operator_account account;
 
-    bool is(std::string_view method, std::size_t segments) const
-    {
-        return request.method == method && path.size() == segments;
-    }
     std::string write_id() const
     {
         return http::find_header(request.headers, "Jl-Write-Id").value_or(new_id());
     }
 };
 
+struct admin_api::route {
+    std::string method;
+    std::string path; // segments after /v1/; "{...}" stands for any one segment
+    std::string meaning;
+    http::response (admin_api::*run)(const call&);
+};
+
 namespace {
 
 constexpr std::int64_t default_history_limit = 20;
@@ -43,6 +47,18 @@
 // Generations whose documents are read at once to show what each of them changed.
 constexpr std::int64_t max_described_generations = 50;
 
+bool matches(const std::string& pattern, const std::vector<std::string>& path)
+{
+    std::istringstream segments(pattern);
+    std::size_t index = 0;
+    for (std::string segment; std::getline(segments, segment, '/'); ++index) {
+        if (index >= path.size() || (segment.front() != '{' && segment != path[index])) {
+            return false;
+        }
+    }
+    return index == path.size();
+}
+
 http::response answer(const json& body, int status = 200)
 {
     // Records may quote what callers sent, so invalid UTF-8 is replaced rather than thrown.
@@ -241,7 +257,7 @@
             return refusal;
         }
         call.account = std::move(*account);
-        auto result = route(call);
+        auto result = dispatch(call);
         metrics_.count("jl_admin_requests_total", "Administration requests",
                        {{"outcome", result.status < 400   ? "done"
                                     : result.status < 500 ? "refused"
@@ -290,63 +306,83 @@
     return text;
 }
 
-http::response admin_api::route(const call& call)
+const std::vector<admin_api::route>& admin_api::routes()
+{
+    static const std::vector<route> table = {
+        {"GET", "configuration", "the current configuration with its document",
+         &admin_api::get_configuration},
+        {"PUT", "configuration",
+         "publishes the document in the body; `If-Match` holds the generation that it replaces, "
+         "`Jl-Write-Id` makes a repetition take effect once",
+         &admin_api::publish},
+        {"POST", "configuration/check", "checks the document in the body; answers its changes",
+         &admin_api::check},
+        {"POST", "configuration/plan",
+         "as `check`, with the longest duration of each wave and the budgets over the present VMs",
+         &admin_api::plan},
+        {"GET", "configuration/diff",
+         "changes between the generations `from` and `to` (query; default: the current one)",
+         &admin_api::diff},
+        {"GET", "history", "the latest `limit` (query) generations and actions, newest first",
+         &admin_api::history},
+        {"GET", "history/{generation}", "one generation with its document",
+         &admin_api::get_generation},
+        {"GET", "status", "generation in force, entries, pools, waves and drains",
+         &admin_api::status},
+        {"GET", "budgets", "headroom of each budget", &admin_api::budgets},
+        {"GET", "services", "queues, slots and demand of each service", &admin_api::services},
+        {"GET", "waves", "progress of each wave", &admin_api::waves},
+        {"GET", "waves/{wave}", "progress, budgets and what blocks the wave",
+         &admin_api::explain_wave},
+        {"PUT", "waves/{wave}", "`{\"state\": \"running\"}`, `\"paused\"` or `\"cancelled\"`",
+         &admin_api::set_wave},
+        {"GET", "vms", "state and record of each VM", &admin_api::vms},
+        {"GET", "vms/{vm}", "record, budgets, acknowledgments and what blocks the VM",
+         &admin_api::explain_one_vm},
+        {"GET", "drains", "drains that operators asked for", &admin_api::drains},
+        {"PUT", "drains/{vm}", "asks for a drain and reboot", &admin_api::change_drain},
+        {"DELETE", "drains/{vm}", "withdraws the request", &admin_api::change_drain},
+        {"GET", "requests/{id}", "record of a request, without its body and answer",
+         &admin_api::explain_request}};
+    return table;
+}
+
+std::string admin_api::describe()
 {
-    const std::string area = call.path.empty() ? "" : call.path.front();
-    if (area == "configuration") {
-        return route_configuration(call);
-    }
-    if (area == "history" && call.request.method == "GET" && call.path.size() <= 2) {
-        return history(call);
-    }
-    if (area == "status" && call.is("GET", 1)) {
-        return status();
-    }
-    if (area == "budgets" && call.is("GET", 1)) {
-        return budgets();
-    }
-    if (area == "services" && call.is("GET", 1)) {
-        return services();
-    }
-    if (area == "waves" && call.request.method == "GET" && call.path.size() <= 2) {
-        return waves(call);
-    }
-    if (area == "waves" && call.is("PUT", 2)) {
-        return set_wave(call);
-    }
-    if (area == "vms" && call.request.method == "GET" && call.path.size() <= 2) {
-        return vms(call);
-    }
-    if (area == "drains" && call.is("GET", 1)) {
-        return drains();
-    }
-    if (area == "drains" && (call.is("PUT", 2) || call.is("DELETE", 2))) {
-        return change_drain(call);
-    }
-    if (area == "requests" && call.is("GET", 2)) {
-        return explain_request(call);
+    std::string text =
+        "# Administration API\n\n"
+        "Generated by `jlctl docs api`; a test compares this page with the table in the code.\n\n"
+        "HTTP/JSON on the port `admin.address` of `jl-admin`. Every path below `/v1/` needs "
+        "`Authorization: Bearer OPERATOR.SECRET`. `/metrics` and `/healthz` need no token.\n\n"
+        "An error is `{\"error\": {\"code\", \"message\", \"field\"}}`. A refused document adds "
+        "`faults`, a list of `object`, `field` and `reason`. A lost race adds `generation`, "
+        "`author` and `changes`.\n\n"
+        "| status | meaning |\n|---|---|\n"
+        "| 400, 428 | malformed request, or `If-Match` is missing |\n"
+        "| 401, 403 | no valid token, or the operator may not make the change |\n"
+        "| 404 | no such path, object or record |\n"
+        "| 409 | another operator made a change first |\n"
+        "| 422 | the document was refused as a whole |\n"
+        "| 503 | the store does not answer; nothing was changed |\n"
+        "| 504 | the outcome is unknown; repeat with the same `Jl-Write-Id` |\n\n"
+        "| method | path | meaning |\n|---|---|---|\n";
+    for (const auto& route : routes()) {
+        text += "| " + route.method + " | `/v1/" + route.path + "` | " + route.meaning + " |\n";
     }
-    return not_found("no such path or method: " + call.request.method + " " + call.request.target);
+    return text;
 }
 
-http::response admin_api::route_configuration(const call& call)
+http::response admin_api::dispatch(call& call)
 {
-    if (call.is("GET", 1)) {
-        return get_configuration();
-    }
-    if (call.is("PUT", 1)) {
-        return publish(call);
-    }
-    if (call.is("GET", 2) && call.path[1] == "diff") {
-        return diff(call);
-    }
-    if (call.is("POST", 2) && (call.path[1] == "check" || call.path[1] == "plan")) {
-        return check(call, call.path[1] == "plan");
+    for (const auto& route : routes()) {
+        if (route.method == call.request.method && matches(route.path, call.path)) {
+            return (this->*route.run)(call);
+        }
     }
     return not_found("no such path or method: " + call.request.method + " " + call.request.target);
 }
 
-http::response admin_api::get_configuration()
+http::response admin_api::get_configuration(const call& /*call*/)
 {
     const auto current = configuration_.current();
     if (!current) {
@@ -360,15 +396,20 @@
     return answer(body);
 }
 
-http::response admin_api::check(const call& call, bool with_plan)
+http::response admin_api::check(const call& call)
 {
     const auto changes = configuration_.check(call.request.body);
     if (!changes) {
         return configuration_failure();
     }
-    json body = {{"valid", true}, {"changes", api_json(*changes)}};
-    if (!with_plan) {
-        return answer(body);
+    return answer({{"valid", true}, {"changes", api_json(*changes)}});
+}
+
+http::response admin_api::plan(const call& call)
+{
+    const auto changes = configuration_.check(call.request.body);
+    if (!changes) {
+        return configuration_failure();
     }
     std::vector<objects::object_error> faults;
     auto set = objects::parse_objects(call.request.body, faults);
@@ -376,7 +417,7 @@
     if (!set || !picture) {
         return unavailable();
     }
-    body["waves"] = plan_waves(*set);
+    json body = {{"valid", true}, {"changes", api_json(*changes)}, {"waves", plan_waves(*set)}};
     // The budgets of the new document over the VMs as they are now.
     picture->configuration = std::make_shared<const objects::object_set>(std::move(*set));
     body["budgets"] = api_json_list(budget_headrooms(*picture));
@@ -430,17 +471,19 @@
                    {"changes", api_json(objects::diff_documents(from->document, to->document))}});
 }
 
-http::response admin_api::history(const call& call)
+http::response admin_api::get_generation(const call& call)
 {
-    if (call.path.size() == 2) {
-        const auto entry = configuration_.generation(parse_integer(call.path[1]).value_or(0));
-        if (!entry) {
-            return configuration_failure();
-        }
-        auto body = api_json(*entry);
-        body["document"] = json::parse(entry->document, nullptr, false);
-        return answer(body);
+    const auto entry = configuration_.generation(parse_integer(call.path[1]).value_or(0));
+    if (!entry) {
+        return configuration_failure();
     }
+    auto body = api_json(*entry);
+    body["document"] = json::parse(entry->document, nullptr, false);
+    return answer(body);
+}
+
+http::response admin_api::history(const call& call)
+{
     const auto asked = call.query.find("limit");
     const auto limit = asked == call.query.end() ? default_history_limit
                                                  : parse_integer(asked->second).value_or(0);
@@ -474,7 +517,7 @@
     return answer({{"generations", generations}, {"actions", api_json_list(*actions)}});
 }
 
-http::response admin_api::status()
+http::response admin_api::status(const call& /*call*/)
 {
     const auto current = configuration_.current();
     if (!current) {
@@ -506,7 +549,7 @@
                    {"drains", api_json_list(picture->drains)}});
 }
 
-http::response admin_api::budgets()
+http::response admin_api::budgets(const call& /*call*/)
 {
     const auto picture = read_picture();
     if (!picture) {
@@ -515,7 +558,7 @@
     return answer({{"budgets", api_json_list(budget_headrooms(*picture))}});
 }
 
-http::response admin_api::services()
+http::response admin_api::services(const call& /*call*/)
 {
     const auto picture = read_picture();
     if (!picture) {
@@ -524,17 +567,22 @@
     return answer({{"services", api_json_list(summarize_services(*picture))}});
 }
 
-http::response admin_api::waves(const call& call)
+http::response admin_api::waves(const call& /*call*/)
 {
     const auto picture = read_picture();
     if (!picture) {
         return unavailable();
     }
-    const auto progresses = wave_progresses(*picture);
-    if (call.path.size() == 1) {
-        return answer({{"waves", api_json_list(progresses)}});
+    return answer({{"waves", api_json_list(wave_progresses(*picture))}});
+}
+
+http::response admin_api::explain_wave(const call& call)
+{
+    const auto picture = read_picture();
+    if (!picture) {
+        return unavailable();
     }
-    for (const auto& progress : progresses) {
+    for (const auto& progress : wave_progresses(*picture)) {
         if (progress.wave != call.path[1]) {
             continue;
         }
@@ -575,14 +623,20 @@
                    {"changed_at_ms", record->changed_at.count()}});
 }
 
-http::response admin_api::vms(const call& call)
+http::response admin_api::vms(const call& /*call*/)
 {
     const auto picture = read_picture();
     if (!picture) {
         return unavailable();
     }
-    if (call.path.size() == 1) {
-        return answer({{"vms", api_json_list(picture->vms)}});
+    return answer({{"vms", api_json_list(picture->vms)}});
+}
+
+http::response admin_api::explain_one_vm(const call& call)
+{
+    const auto picture = read_picture();
+    if (!picture) {
+        return unavailable();
     }
     const auto explanation = explain_vm(*picture, call.path[1]);
     if (!explanation) {
@@ -591,7 +645,7 @@
     return answer(api_json(*explanation));
 }
 
-http::response admin_api::drains()
+http::response admin_api::drains(const call& /*call*/)
 {
     const auto drains = control_.drains();
     if (!drains) {
--- a/src/operators/admin_api.h
+++ b/src/operators/admin_api.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/metrics.h"
 #include "base/time.h"
@@ -37,26 +38,35 @@
 
     http::response handle(const http::request& request);
 
+    // Reference page of the paths in Markdown.
+    static std::string describe();
+
 private:
     struct call; // a parsed request of an authenticated operator
 
-    http::response route(const call& call);
+    struct route; // one row of the table of paths
+    static const std::vector<route>& routes();
+
+    http::response dispatch(call& call);
     http::response show_metrics();
-    http::response route_configuration(const call& call);
-    http::response get_configuration();
-    http::response check(const call& call, bool with_plan);
+    http::response get_configuration(const call& call);
+    http::response check(const call& call);
+    http::response plan(const call& call);
     http::response publish(const call& call);
     http::response diff(const call& call);
     http::response history(const call& call);
-    http::response status();
-    http::response budgets();
+    http::response get_generation(const call& call);
+    http::response status(const call& call);
+    http::response budgets(const call& call);
+    http::response services(const call& call);
     http::response waves(const call& call);
+    http::response explain_wave(const call& call);
     http::response set_wave(const call& call);
     http::response vms(const call& call);
-    http::response drains();
+    http::response explain_one_vm(const call& call);
+    http::response drains(const call& call);
     http::response change_drain(const call& call);
     http::response explain_request(const call& call);
-    http::response services();
 
     // The configuration the local entry has in force, or else the one in the store, which may be
     // empty; null if neither can be read.
--- a/src/operators/ctl_commands.cpp
+++ b/src/operators/ctl_commands.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "objects/fields.h"
+#include "operators/admin_api.h"
 #include "operators/admin_settings.h"
 #include "operators/operator_registry.h"
 
@@ -22,12 +23,16 @@
     else if (page == "commands") {
         output << describe_commands();
     }
+    else if (page == "api") {
+        output << admin_api::describe();
+    }
     else if (page == "admin-settings") {
         output << describe_admin_settings();
     }
     else {
         invocation.environment.errors
-            << "jlctl: docs: expected objects, commands or admin-settings, found " << page << "\n";
+            << "jlctl: docs: expected objects, commands, api or admin-settings, found " << page
+            << "\n";
         return ctl_exit::usage;
     }
     return ctl_exit::done;
@@ -141,7 +146,7 @@
         {"top", "", "show the longest queues repeatedly", top_options, 0, 0, true, top},
         {"report", "FILE", "write an HTML page with plots from the entries' metrics",
          report_options, 1, 1, true, run_report},
-        {"docs", "objects|commands|admin-settings", "print a reference page in Markdown",
+        {"docs", "objects|commands|api|admin-settings", "print a reference page in Markdown",
          no_options, 1, 1, false, docs},
         {"token", "OPERATOR ROLE",
          "create a token and its settings line; ROLE is administrator, reader or team:TEAM",
--- a/src/operators/session_test.cpp
+++ b/src/operators/session_test.cpp
@@ -339,6 +339,7 @@
 {
     compare_with_file("docs/reference/objects.md", objects::describe_objects());
     compare_with_file("docs/reference/jlctl.md", describe_commands());
+    compare_with_file("docs/reference/admin-api.md", admin_api::describe());
     compare_with_file("docs/reference/admin-settings.md", describe_admin_settings());
 }
 
