--- a/src/operators/test_support.h
+++ b/src/operators/test_support.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <utility>
@@ -41,16 +42,25 @@
     std::optional<store::transaction_result> commit(const store::transaction& transaction,
                                                     steady_time deadline) override
     {
-        if (const auto hook = std::exchange(before_commit, nullptr)) {
+        std::function<void()> hook;
+        bool drop = false;
+        bool lose = false;
+        {
+            const std::lock_guard lock(mutex_);
+            hook = std::exchange(before_commit, nullptr);
+            drop = dropped_requests_ > 0;
+            lose = !drop && lost_answers_ > 0;
+            dropped_requests_ -= drop ? 1 : 0;
+            lost_answers_ -= lose ? 1 : 0;
+        }
+        if (hook) {
             hook();
         }
-        if (dropped_requests_ > 0) {
-            --dropped_requests_;
+        if (drop) {
             store::internal::fail(store::store_error_code::outcome_unknown, "request lost");
             return std::nullopt;
         }
-        if (lost_answers_ > 0) {
-            --lost_answers_;
+        if (lose) {
             store_.inject(standins::store_fault::lost_answer, 1);
         }
         return store_.commit(transaction, deadline);
@@ -86,6 +96,7 @@
 
 private:
     standins::memory_store store_;
+    std::mutex mutex_;
     int lost_answers_ = 0;
     int dropped_requests_ = 0;
 };
