--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -209,6 +209,8 @@
                         report.duration >= min_counted_timeout;
         self.route.excluded.insert(self.slot->vm);
         release(self, report);
+        metrics_.observe("jl_exchange_seconds", "Time from start to end of exchanges with targets",
+                         {{"class", to_text(call.priority)}, {"team", call.team}}, report.duration);
         return answer;
     }
 
@@ -216,10 +218,12 @@
     std::optional<call_result> acquire_usable(execution& self)
     {
         for (;;) {
-            refresh_if_changed();
             if (!state_.may_send()) {
                 return refused("vm_view_old", "the VM view is too old to send to targets");
             }
+            if (!is_service_known(self.owner.service)) {
+                refresh();
+            }
             if (auto refusal = acquire(self)) {
                 return refusal;
             }
@@ -235,14 +239,27 @@
 
     bool is_usable(const std::string& vm)
     {
-        refresh_if_changed();
         if (!state_.may_send()) {
             return false;
         }
+        const auto vms = state_.vms();
+        {
+            const std::lock_guard lock(mutex_);
+            if (vms == vms_) {
+                return usable_.count(vm) > 0;
+            }
+        }
+        refresh();
         const std::lock_guard lock(mutex_);
         return usable_.count(vm) > 0;
     }
 
+    bool is_service_known(const std::string& service) const
+    {
+        const std::lock_guard lock(mutex_);
+        return services_.count(service) > 0;
+    }
+
     std::optional<call_result> acquire(execution& self)
     {
         std::unique_lock lock(mutex_);
@@ -363,19 +380,6 @@
         }
     }
 
-    void refresh_if_changed()
-    {
-        const auto vms = state_.vms();
-        const auto configuration = state_.configuration();
-        {
-            const std::lock_guard lock(mutex_);
-            if (vms == vms_ && configuration == configuration_) {
-                return;
-            }
-        }
-        refresh();
-    }
-
     // Takes over the current configuration, VMs and members.
     void refresh()
     {
@@ -445,8 +449,8 @@
         return unused;
     }
 
-    // Demand of every live entry. Until all of them have reported, all count as equal: an entry that
-    // knew only its own demand would take slots that others use.
+    // Demand of every live entry. Until all of them have reported, all count as equal: an entry
+    // that knew only its own demand would take slots that others use.
     std::vector<decisions::entry_demand>
     collect_demands(const std::vector<cluster::member_status>& members, const std::string& self,
                     const std::string& service) const
@@ -460,11 +464,12 @@
                 continue;
             }
             listed = listed || is_self;
-            const auto load = std::find_if(member.loads.begin(), member.loads.end(),
-                                           [&](const auto& load) { return load.service == service; });
+            const auto load =
+                std::find_if(member.loads.begin(), member.loads.end(),
+                             [&](const auto& load) { return load.service == service; });
             all_reported = all_reported && load != member.loads.end();
-            demands.push_back({member.member.member,
-                               load == member.loads.end() ? 0 : round_up_demand(*load)});
+            demands.push_back(
+                {member.member.member, load == member.loads.end() ? 0 : round_up_demand(*load)});
         }
         if (!listed) {
             demands.push_back({self, 0});
