--- a/src/cluster/node.cpp
+++ b/src/cluster/node.cpp
@@ -215,6 +215,11 @@
     }
     read_members();
     connect_members();
+    const auto statuses = members();
+    const auto alive = std::count_if(statuses.begin(), statuses.end(),
+                                     [](const member_status& status) { return status.alive; });
+    metrics_.set("jl_cluster_members_alive", "Members that this entry hears, itself included", {},
+                 static_cast<double>(alive));
 }
 
 bool node::read_members()
