--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -228,6 +228,22 @@
         return last;
     }
 
+    // An exception must not leave the request counted as in flight for ever. What was sent by then
+    // is not known.
+    std::optional<targets::target_answer> exchange(const execution& self, steady_time deadline)
+    {
+        const auto& call = self.owner;
+        try {
+            return targets_.exchange(self.slot->address,
+                                     {call.service, call.id, call.content_type, call.body},
+                                     deadline);
+        }
+        catch (const std::exception& error) {
+            targets::set_last_error({targets::target_error_code::disconnected, error.what()});
+            return std::nullopt;
+        }
+    }
+
     // Sends the call to the target it was assigned to, and gives the slot back.
     std::optional<targets::target_answer> attempt_exchange(execution& self)
     {
@@ -238,8 +254,7 @@
             // Leaves time for another target, as the probed one may fail again.
             deadline = start + time_left(deadline, start) / 2;
         }
-        auto answer = targets_.exchange(
-            self.slot->address, {call.service, call.id, call.content_type, call.body}, deadline);
+        auto answer = exchange(self, deadline);
         exchange_report report;
         report.duration = clock_.steady_now() - start;
         report.success = answer && answer->status < lowest_error_status;
--- a/src/requests/call_engine_test.cpp
+++ b/src/requests/call_engine_test.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <future>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -183,6 +184,17 @@
     }
 }
 
+// Guards against a request that stays counted as in flight, so that its VM can never be drained.
+TEST(call_engine, counts_a_request_as_ended_if_the_exchange_throws)
+{
+    engine_under_test test(1);
+    test.targets.behavior = [](const endpoint&) -> attempt_result {
+        throw std::runtime_error("injected");
+    };
+    EXPECT_EQ(test.engine->execute(test.make_call()).result, outcome::unknown);
+    EXPECT_EQ(test.engine->in_flight("vm0"), 0);
+}
+
 // Guards against "not run" for an idempotent call whose first attempt may have run.
 TEST(call_engine, stays_unknown_once_an_attempt_may_have_run)
 {
