--- a/bench/wave_bench.cpp
+++ b/bench/wave_bench.cpp
@@ -197,6 +197,12 @@
     std::atomic<int> not_run{0};
     std::atomic<int> cut{0};
 
+    json cut_details() const
+    {
+        const std::lock_guard lock(mutex_);
+        return details_;
+    }
+
 private:
     void send(const harness::deployment& deployment, int entry, const std::string& service,
               const std::string& team)
@@ -216,9 +222,18 @@
         }
         else {
             ++cut;
+            const std::chrono::duration<double> at = steady_clock::now() - started_;
+            const std::lock_guard lock(mutex_);
+            details_.push_back({{"at_s", at.count()},
+                                {"service", service},
+                                {"status", answer ? answer->status : 0},
+                                {"outcome", outcome}});
         }
     }
 
+    const steady_clock::time_point started_ = steady_clock::now();
+    mutable std::mutex mutex_;
+    json details_ = json::array();
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> threads_;
 };
@@ -299,6 +314,7 @@
               {"budget_breaches", auditor.breaches()},
               {"auditor_complete", auditor.watching()},
               {"cut_requests", load.cut.load()},
+              {"cut_details", load.cut_details()},
               {"answered_requests", load.answered.load()},
               {"not_run_requests", load.not_run.load()},
               {"killed_planner", killed}}},
