--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -1,5 +1,6 @@
 #include "tests/harness/deployment.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -368,10 +369,14 @@
 {
     std::map<std::string, execution> entries;
     std::istringstream lines(control(target_control_, "GET", "/control/ledger").body);
-    std::string token;
-    execution entry;
-    while (lines >> token >> entry.starts >> entry.finishes >> entry.vm) {
-        entries[token] = entry;
+    std::string line;
+    while (std::getline(lines, line)) {
+        // The token of a request that carries none is empty.
+        const auto token_end = std::min(line.find(' '), line.size());
+        std::istringstream fields(line.substr(token_end));
+        execution entry;
+        fields >> entry.starts >> entry.finishes >> entry.vm;
+        entries[line.substr(0, token_end)] = entry;
     }
     return entries;
 }
