--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -1,6 +1,7 @@
 #include "tests/harness/deployment.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -9,6 +10,7 @@
 #include <thread>
 
 #include <Poco/Net/ServerSocket.h>
+#include <unistd.h>
 
 #include "base/ids.h"
 #include "objects/objects.h"
@@ -35,6 +37,17 @@
     return (directory != nullptr ? directory : JL_BIN_DIR) + ("/" + program);
 }
 
+// Below the range from which the kernel takes the ports of outgoing connections.
+constexpr std::uint16_t first_port = 10000;
+constexpr std::uint16_t last_port = 32000;
+
+std::string loopback_address_of_process()
+{
+    const auto pid = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + (pid >> 15U) % 254) + "." +
+           std::to_string((pid >> 7U) & 0xffU) + "." + std::to_string(1 + (pid & 0x7fU));
+}
+
 steady_time in(std::chrono::milliseconds time)
 {
     return std::chrono::steady_clock::now() + time;
@@ -54,10 +67,25 @@
     return true;
 }
 
-endpoint free_endpoint(const std::string& address)
+endpoint free_endpoint()
 {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address, 0));
-    return {address, socket.address().port()};
+    // An address of its own for each process keeps parallel runs apart, and ports are never handed
+    // out twice. Ports chosen by the kernel repeated within one deployment and collided with
+    // outgoing connections.
+    static const std::string address = loopback_address_of_process();
+    static std::atomic<std::uint16_t> next_port{first_port};
+    for (;;) {
+        const std::uint16_t port = next_port++;
+        try {
+            const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address, port));
+            return {address, port};
+        }
+        catch (const Poco::Exception&) {
+            if (port > last_port) {
+                throw std::runtime_error("no free port on " + address);
+            }
+        }
+    }
 }
 
 deployment::deployment(deployment_options options) : options_(std::move(options))
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -149,7 +149,7 @@
 bool eventually(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::seconds(20));
 
-// A port that is free on `address` at the time of the call.
-endpoint free_endpoint(const std::string& address = "127.0.0.1");
+// An unused port on a loopback address of this process; never returned twice. Thread-safe.
+endpoint free_endpoint();
 
 } // namespace jl::harness
