--- a/bench/overhead_bench.cpp
+++ b/bench/overhead_bench.cpp
@@ -76,11 +76,11 @@
     const auto targets = read_targets(deployment, choice.pool);
     const jl::http::header_map headers = {{"Jl-Team", choice.team}};
 
-    const auto through_entry = [&](std::size_t, std::mt19937_64&) {
+    const auto through_entry = [&](std::size_t, int, std::mt19937_64&) {
         const auto answer = deployment.call(0, choice.service, headers, body);
         return answer && answer->status == 200;
     };
-    const auto direct = [&](std::size_t, std::mt19937_64& random) {
+    const auto direct = [&](std::size_t, int, std::mt19937_64& random) {
         const auto answer = deployment.request(targets[random() % targets.size()], "POST",
                                                "/" + choice.service, body);
         return answer && answer->status == 200;
