--- a/bench/wave_bench.cpp
+++ b/bench/wave_bench.cpp
@@ -194,11 +194,10 @@
     void send(const harness::deployment& deployment, int entry, const std::string& service,
               const std::string& team)
     {
-        const auto answer = deployment.call(entry, service,
-                                            {{"Jl-Team", team},
-                                             {"Jl-Class", "normal"},
-                                             {"Content-Type", "application/json"}},
-                                            R"({"work_ms": 100})");
+        const auto answer = deployment.call(
+            entry, service,
+            {{"Jl-Team", team}, {"Jl-Class", "normal"}, {"Content-Type", "application/json"}},
+            R"({"work_ms": 100})");
         const auto outcome =
             answer ? http::find_header(answer->headers, "Jl-Outcome").value_or("") : "";
         if (outcome == "answered" && answer->status == 200) {
@@ -220,9 +219,9 @@
 // Kills the planner that holds the role; returns its number.
 int kill_active_planner(harness::deployment& deployment)
 {
-    const auto owner = deployment.store().range(
-        {std::string(records::owners_prefix) + "planner", "", 0},
-        steady_clock::now() + std::chrono::seconds(2));
+    const auto owner =
+        deployment.store().range({std::string(records::owners_prefix) + "planner", "", 0},
+                                 steady_clock::now() + std::chrono::seconds(2));
     if (!owner || owner->items.empty()) {
         return -1;
     }
--- a/src/cluster/vm_table.cpp
+++ b/src/cluster/vm_table.cpp
@@ -23,6 +23,18 @@
     return stable_hash(text);
 }
 
+// Fields are compared in place of hashes: this runs for every VM at every poll, and a hash costs
+// several allocations.
+bool same(const platform::listed_vm& one, const platform::listed_vm& other)
+{
+    return one.vm == other.vm && one.address == other.address &&
+           one.data_centre == other.data_centre && one.rack == other.rack &&
+           one.initial_pool == other.initial_pool && one.leaving == other.leaving &&
+           one.boot_id == other.boot_id && one.resources.cores == other.resources.cores &&
+           one.resources.memory_gb == other.resources.memory_gb &&
+           one.resources.accelerators == other.resources.accelerators;
+}
+
 std::uint64_t hash_of(const vm_mark& mark)
 {
     return stable_hash(mark.vm, static_cast<std::uint64_t>(mark.revision));
@@ -53,8 +65,7 @@
     for (const auto& vm : list) {
         present.insert(vm.vm);
         const auto found = listed_.find(vm.vm);
-        if (found == listed_.end() || !found->second.listed ||
-            hash_of(found->second.vm) != hash_of(vm)) {
+        if (found == listed_.end() || !found->second.listed || !same(found->second.vm, vm)) {
             change.changed.push_back(vm);
         }
     }
--- a/src/peers/websocket_transport.cpp
+++ b/src/peers/websocket_transport.cpp
@@ -309,8 +309,8 @@
         // Each round begins with another link, so that all get their turn within the budget.
         auto members = copy_of_members();
         if (!members.empty()) {
-            std::rotate(members.begin(), members.begin() + first_served_++ % members.size(),
-                        members.end());
+            const auto first = static_cast<std::ptrdiff_t>(first_served_++ % members.size());
+            std::rotate(members.begin(), members.begin() + first, members.end());
         }
         for (const auto& [member, id] : members) {
             ping_if_due(id, member, now);
