End the placement of slots for repeated or missing entries; count idle entries as without demand

Cause of a jl-entry that did not react to SIGTERM (most likely; the process was ended before its loop was seen): place_slots() never ended if an entry was listed twice, because slots are placed by name, and the engine's mutex is held meanwhile. A process that was restarted under its name sees its predecessor in the member list.

The owner of a deferred queue never got a larger share of the slots: reports leave out idle services, and shares followed demand only once every entry had reported the service. Entries that do not mention a service now count as idle.

--- a/src/decisions/slot_shares.cpp
+++ b/src/decisions/slot_shares.cpp
@@ -50,9 +50,22 @@
     return std::max(rest, 0.0);
 }
 
-// Entries in the order of their rendezvous scores, which breaks all ties.
-std::vector<entry_demand> sort_by_score(const std::string& key, std::vector<entry_demand> demands)
+// Entries in the order of their rendezvous scores, which breaks all ties. An entry that is listed
+// more than once keeps its largest demand: slots are placed by name, so a second share under the
+// same name could never be placed.
+std::vector<entry_demand> sort_by_score(const std::string& key,
+                                        const std::vector<entry_demand>& listed)
 {
+    std::map<std::string, double> by_name;
+    for (const auto& entry : listed) {
+        auto& slots = by_name.emplace(entry.entry, entry.slots).first->second;
+        slots = std::max(slots, entry.slots);
+    }
+    std::vector<entry_demand> demands;
+    demands.reserve(by_name.size());
+    for (const auto& [name, slots] : by_name) {
+        demands.push_back({name, slots});
+    }
     std::sort(demands.begin(), demands.end(), [&](const auto& left, const auto& right) {
         const auto left_score = rendezvous_score(left.entry, key);
         const auto right_score = rendezvous_score(right.entry, key);
@@ -122,6 +135,9 @@
         table[instance.vm];
     }
     const auto entries = sort_by_score(key, demands);
+    if (entries.empty()) {
+        return table;
+    }
     // One slot per entry and round, each on the instance where the entry has fewest slots so far.
     for (int placed = 0; placed < total;) {
         for (const auto& entry : entries) {
--- a/src/decisions/slot_shares_test.cpp
+++ b/src/decisions/slot_shares_test.cpp
@@ -94,6 +94,21 @@
     }
 }
 
+// Guards against a placement that never ends, with the engine's mutex held: without entries, and
+// with an entry that is listed twice, as after a restart under the same name.
+TEST(slot_shares, ends_without_entries_and_with_repeated_entries)
+{
+    EXPECT_TRUE(place_slots("rounds", make_instances(2), {}).at("vm0").empty());
+    const std::vector<entry_demand> repeated = {{"a", 8}, {"b", 0}, {"a", 0}};
+    int placed = 0;
+    for (const auto& [vm, row] : place_slots("rounds", make_instances(2), repeated)) {
+        for (const auto& [entry, share] : row) {
+            placed += share;
+        }
+    }
+    EXPECT_EQ(placed, 16);
+}
+
 // Guards against an instance that is overloaded while entries still have different tables.
 TEST(slot_ramp, decreases_at_once_and_increases_after_the_hold)
 {
--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -82,13 +82,18 @@
     std::map<std::string, std::vector<decisions::entry_demand>> by_service;
     std::vector<decisions::entry_demand> equal; // all live entries without demand
 
-    // Until all entries have reported, all count as equal: an entry that knew only its own demand
-    // would take slots that others use.
-    const std::vector<decisions::entry_demand>& of_service(const std::string& service) const
+    // Idle services are left out of the reports, so an entry that does not mention a service has no
+    // demand for it. An entry whose first report is still on its way keeps the floor of its share,
+    // and larger shares of others take effect only two report periods later.
+    std::vector<decisions::entry_demand> of_service(const std::string& service) const
     {
         const auto found = by_service.find(service);
-        return found != by_service.end() && found->second.size() == equal.size() ? found->second
-                                                                                 : equal;
+        if (found == by_service.end()) {
+            return equal;
+        }
+        auto demands = found->second;
+        demands.insert(demands.end(), equal.begin(), equal.end());
+        return demands;
     }
 };
 
