Count requests whose answer is no longer awaited as in flight

A call that timed out left the in-flight count although its target could still execute it, so the planner was free to stop the VM. Such requests now count for the longest timeout of their service. The test that asked for a count of 0 right after a failed exchange now asks for 1, and for 0 after that time.

--- a/src/requests/call_engine.cpp
+++ b/src/requests/call_engine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -175,7 +176,7 @@
     {
         const std::lock_guard lock(mutex_);
         const auto found = in_flight_.find(vm);
-        return found == in_flight_.end() ? 0 : found->second;
+        return (found == in_flight_.end() ? 0 : found->second) + count_abandoned(vm);
     }
 
     std::vector<cluster::service_load> loads() const override
@@ -267,6 +268,9 @@
                         targets::last_error().code != targets::target_error_code::timed_out ||
                         report.duration >= min_counted_timeout;
         self.route.excluded.insert(self.slot->vm);
+        if (!answer && targets::last_error().code != targets::target_error_code::not_sent) {
+            note_abandoned(self);
+        }
         release(self, report);
         metrics_.observe("jl_exchange_seconds", "Time from start to end of exchanges with targets",
                          {{"class", to_text(call.priority)}, {"team", call.team}}, report.duration);
@@ -370,8 +374,48 @@
         return found != services_.end() && found->second.router.try_retry();
     }
 
+    // The target may still execute a request whose answer this entry no longer waits for. A stop of
+    // the VM would cut it, so it counts as in flight for the longest time a request of the service
+    // may take.
+    void note_abandoned(const execution& self)
+    {
+        const auto* service = self.owner.configuration
+                                  ? self.owner.configuration->find_service(self.owner.service)
+                                  : nullptr;
+        const auto longest =
+            service != nullptr ? service->max_timeout : objects::service().max_timeout;
+        const std::lock_guard lock(mutex_);
+        const auto now = clock_.steady_now();
+        auto& ends = abandoned_[self.slot->vm];
+        drop_ended(ends, now);
+        ends.push_back(now + longest);
+    }
+
     // The following require mutex_.
 
+    int count_abandoned(const std::string& vm) const
+    {
+        const auto found = abandoned_.find(vm);
+        if (found == abandoned_.end()) {
+            return 0;
+        }
+        drop_ended(found->second, clock_.steady_now());
+        const auto count = static_cast<int>(found->second.size());
+        if (count == 0) {
+            abandoned_.erase(found);
+        }
+        return count;
+    }
+
+    // The ends of one service are in order. Those of a VM that changed its pool may not be, and
+    // then some stay a little longer.
+    static void drop_ended(std::deque<steady_time>& ends, steady_time now)
+    {
+        while (!ends.empty() && ends.front() <= now) {
+            ends.pop_front();
+        }
+    }
+
     bool enqueue(service_state& service, execution& self)
     {
         self.route.id = ++last_ticket_;
@@ -569,6 +613,8 @@
     std::string self_;
     std::map<std::string, endpoint> usable_;
     in_flight_counts in_flight_;
+    // By VM: until when requests count as in flight whose answers are no longer awaited.
+    mutable std::map<std::string, std::deque<steady_time>> abandoned_;
     std::map<std::string, service_state> services_;
     decisions::ticket last_ticket_ = 0;
     int waiting_ = 0;
--- a/src/requests/call_engine_test.cpp
+++ b/src/requests/call_engine_test.cpp
@@ -120,13 +120,25 @@
     return {std::nullopt, code};
 }
 
+// The real clock, which a test can move forward.
+class shifted_clock final : public clock_source {
+public:
+    steady_time steady_now() const override
+    {
+        return std::chrono::steady_clock::now() + shift.load();
+    }
+    wall_time wall_now() const override { return std::chrono::system_clock::now(); }
+
+    std::atomic<std::chrono::milliseconds> shift{0ms};
+};
+
 // An engine whose slot shares are usable at once.
 struct engine_under_test {
     explicit engine_under_test(int vms) : state(vms)
     {
         call_engine_options options;
         options.report_period = 0ms;
-        engine = make_call_engine(state, targets, system_clock_source(), metrics, options);
+        engine = make_call_engine(state, targets, clock, metrics, options);
     }
 
     call make_call(bool idempotent = false, std::chrono::milliseconds timeout = 60s)
@@ -144,6 +156,7 @@
     fake_state state;
     fake_targets targets;
     jl::metrics metrics;
+    shifted_clock clock;
     std::unique_ptr<routing_call_engine> engine;
 };
 
@@ -184,15 +197,21 @@
     }
 }
 
-// Guards against a request that stays counted as in flight, so that its VM can never be drained.
-TEST(call_engine, counts_a_request_as_ended_if_the_exchange_throws)
+// Guards against a request that stays counted as in flight, so that its VM can never be drained,
+// and against a VM that is stopped while a request runs whose answer is no longer awaited.
+TEST(call_engine, counts_an_abandoned_request_for_the_longest_timeout)
 {
-    engine_under_test test(1);
-    test.targets.behavior = [](const endpoint&) -> attempt_result {
-        throw std::runtime_error("injected");
-    };
-    EXPECT_EQ(test.engine->execute(test.make_call()).result, outcome::unknown);
-    EXPECT_EQ(test.engine->in_flight("vm0"), 0);
+    const std::vector<target_behavior> behaviors = {
+        [](const endpoint&) -> attempt_result { throw std::runtime_error("injected"); },
+        [](const endpoint&) { return fail(targets::target_error_code::timed_out); }};
+    for (const auto& behavior : behaviors) {
+        engine_under_test test(1);
+        test.targets.behavior = behavior;
+        EXPECT_EQ(test.engine->execute(test.make_call()).result, outcome::unknown);
+        EXPECT_EQ(test.engine->in_flight("vm0"), 1);
+        test.clock.shift = objects::service().max_timeout + 1ms;
+        EXPECT_EQ(test.engine->in_flight("vm0"), 0);
+    }
 }
 
 // Guards against "not run" for an idempotent call whose first attempt may have run.
