--- a/src/cluster/node.cpp
+++ b/src/cluster/node.cpp
@@ -182,6 +182,13 @@
 // Ends the watch of a member that is no longer selected.
 bool node::must_start_watch(feed& feed, const char* duty)
 {
+    {
+        // An entry that knows no others would select itself, so all entries would start every watch.
+        const std::lock_guard lock(mutex_);
+        if (!members_read_) {
+            return false;
+        }
+    }
     if (!selected(duty)) {
         feed.watch.reset();
         return false;
