--- a/src/cluster/node.cpp
+++ b/src/cluster/node.cpp
@@ -183,7 +183,8 @@
 bool node::must_start_watch(feed& feed, const char* duty)
 {
     {
-        // An entry that knows no others would select itself, so all entries would start every watch.
+        // An entry that knows no others would select itself, so all entries would start every
+        // watch.
         const std::lock_guard lock(mutex_);
         if (!members_read_) {
             return false;
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -22,6 +22,8 @@
     void kill();
     // Asks for a graceful stop and waits; returns the exit code, or -1 if a signal ended it.
     int terminate();
+    // Waits until the process has ended by itself; returns as terminate().
+    int wait_for_exit();
     bool running();
     pid_t pid() const { return pid_; }
 
@@ -30,8 +32,6 @@
     double resident_mb() const;
 
 private:
-    int wait_for_exit();
-
     pid_t pid_ = -1;
 };
 
