--- a/bench/recovery_bench.cpp
+++ b/bench/recovery_bench.cpp
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include <getopt.h>
 #include <nlohmann/json.hpp>
 
 #include "base/ids.h"
+#include "bench/request_load.h"
 #include "records/records.h"
 #include "tests/harness/deployment.h"
 
@@ -239,26 +239,15 @@
 
 int main(int argc, char** argv)
 {
-    std::uint64_t seed = 1;
-    std::string example = "co-op";
-    const option options[] = {{"seed", required_argument, nullptr, 's'},
-                              {"deployment", required_argument, nullptr, 'd'},
-                              {nullptr, 0, nullptr, 0}};
-    for (int id = 0; (id = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
-        if (id == 's') {
-            seed = std::stoull(optarg);
-        }
-        else if (id == 'd') {
-            example = optarg;
-        }
-        else {
-            return 2;
-        }
+    jl::bench::bench_arguments arguments;
+    if (!jl::bench::read_arguments(argc, argv, arguments)) {
+        std::fprintf(stderr, "usage: recovery_bench [--seed N] [--deployment co-op|head-office]\n");
+        return 2;
     }
-    recovery_run run(example, seed);
+    recovery_run run(arguments.deployment, arguments.seed);
     const json figures = run.run();
     std::printf("%s\n", json{{"bench", "recovery"},
-                             {"seed", seed},
+                             {"seed", arguments.seed},
                              {"figures", figures},
                              {"baselines", {{"lease_ttl_s", 5}}}}
                             .dump()
--- a/bench/store_cost_bench.cpp
+++ b/bench/store_cost_bench.cpp
@@ -10,9 +10,9 @@
 #include <thread>
 #include <vector>
 
-#include <getopt.h>
 #include <nlohmann/json.hpp>
 
+#include "bench/request_load.h"
 #include "tests/harness/deployment.h"
 
 namespace {
@@ -240,22 +240,14 @@
 
 int main(int argc, char** argv)
 {
-    bench_options options;
-    const std::array<option, 3> long_options = {{{"seed", required_argument, nullptr, 's'},
-                                                 {"deployment", required_argument, nullptr, 'd'},
-                                                 {nullptr, 0, nullptr, 0}}};
-    for (int flag = 0; (flag = getopt_long(argc, argv, "", long_options.data(), nullptr)) != -1;) {
-        switch (flag) {
-        case 's':
-            options.seed = std::strtoull(optarg, nullptr, 10);
-            break;
-        case 'd':
-            options.example = optarg;
-            break;
-        default:
-            std::fprintf(stderr, "usage: store_cost_bench [--seed N] [--deployment NAME]\n");
-            return 2;
-        }
+    jl::bench::bench_arguments arguments;
+    if (!jl::bench::read_arguments(argc, argv, arguments)) {
+        std::fprintf(stderr,
+                     "usage: store_cost_bench [--seed N] [--deployment co-op|head-office]\n");
+        return 2;
     }
+    bench_options options;
+    options.seed = arguments.seed;
+    options.example = arguments.deployment;
     return run(options);
 }
--- a/bench/wave_bench.cpp
+++ b/bench/wave_bench.cpp
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bench/request_load.h"
 #include "records/records.h"
 #include "tests/harness/deployment.h"
 
@@ -329,17 +330,13 @@
 
 int main(int argc, char** argv)
 {
-    unsigned seed = 1;
-    std::string example = "co-op";
-    for (int index = 1; index + 1 < argc; index += 2) {
-        if (std::string(argv[index]) == "--seed") {
-            seed = static_cast<unsigned>(std::stoul(argv[index + 1]));
-        }
-        if (std::string(argv[index]) == "--deployment") {
-            example = argv[index + 1];
-        }
+    jl::bench::bench_arguments arguments;
+    if (!jl::bench::read_arguments(argc, argv, arguments)) {
+        std::cerr << "usage: wave_bench [--seed N] [--deployment co-op|head-office]\n";
+        return 2;
     }
-    json result = run(example, seed);
+    const auto seed = static_cast<unsigned>(arguments.seed);
+    json result = run(arguments.deployment, seed);
     result["bench"] = "wave";
     result["seed"] = seed;
     std::cout << result.dump() << "\n";
