Use the cluster's view limit in the planner; name the right settings key

The planner held its own copy of the 2 s after which an entry stops sending; both must stay equal, or a process would count as silent too early. jl-entry named the former key store.addresses when store.endpoints was empty.

--- a/src/bin/entry_main.cpp
+++ b/src/bin/entry_main.cpp
@@ -86,7 +86,7 @@
         read("store.endpoints", text, result.stores.emplace_back());
     }
     if (result.stores.empty()) {
-        std::cerr << "jl-entry: key \"store.addresses\": expected at least one address\n";
+        std::cerr << "jl-entry: key \"store.endpoints\": expected at least one address\n";
         valid = false;
     }
     if (!valid) {
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/log.h"
+#include "cluster/liveness.h"
 
 namespace jl::fleet {
 
@@ -31,12 +32,11 @@
 // a fresh view.
 std::chrono::milliseconds silence_limit(const objects::object_set& set)
 {
-    constexpr std::chrono::milliseconds view_limit{2000};
     std::chrono::milliseconds longest{0};
     for (const auto& service : set.services) {
         longest = std::max(longest, service.max_timeout);
     }
-    return view_limit + longest;
+    return cluster::max_view_age + longest;
 }
 
 } // namespace
