Add an event loop with HTTP server and client on one thread; buffer logs without blocking

An entry VM has a quarter of a core and pays for each wake-up, so the new process serves all its connections from one thread instead of one thread each. POCO parses the messages.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,6 +2,11 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <mutex>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <easylogging++.h>
 
@@ -11,6 +16,59 @@
 
 namespace {
 
+constexpr std::size_t max_buffered_bytes = 256U << 10U;
+
+// Lines waiting for flush_log(), and the count of those that found no room.
+struct line_buffer {
+    std::mutex mutex;
+    std::string bytes;
+    std::size_t dropped = 0;
+
+    void append(const std::string& line)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (bytes.size() + line.size() > max_buffered_bytes) {
+            ++dropped;
+            return;
+        }
+        if (dropped > 0) {
+            bytes += "log.dropped lines=\"" + std::to_string(dropped) + "\"\n";
+            dropped = 0;
+        }
+        bytes += line;
+    }
+
+    void flush()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        std::size_t written = 0;
+        while (written < bytes.size()) {
+            const auto count =
+                ::write(STDOUT_FILENO, bytes.data() + written, bytes.size() - written);
+            if (count <= 0) {
+                break; // the reader is slow or gone: the rest waits, bounded by the limit
+            }
+            written += static_cast<std::size_t>(count);
+        }
+        bytes.erase(0, written);
+    }
+};
+
+line_buffer& buffered_lines()
+{
+    static line_buffer buffer;
+    return buffer;
+}
+
+class buffered_output_callback final : public el::LogDispatchCallback {
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        const auto* message = data->logMessage();
+        buffered_lines().append(message->logger()->logBuilder()->build(message, true));
+    }
+};
+
 // easylogging++ has no standard error output of its own.
 class standard_error_callback final : public el::LogDispatchCallback {
 protected:
@@ -42,7 +100,7 @@
 
 } // namespace
 
-void init_logging(std::string_view program)
+void init_logging(std::string_view program, log_target target)
 {
     // easylogging++ starts `whoami` and `hostname` when these variables are missing, and a process
     // of ours may not start another.
@@ -59,7 +117,17 @@
     el::Loggers::setDefaultConfigurations(configuration, true);
     el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
         "DefaultLogDispatchCallback");
-    el::Helpers::installLogDispatchCallback<standard_error_callback>("standard_error_callback");
+    if (target == log_target::standard_error) {
+        el::Helpers::installLogDispatchCallback<standard_error_callback>("standard_error_callback");
+        return;
+    }
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    el::Helpers::installLogDispatchCallback<buffered_output_callback>("buffered_output_callback");
+}
+
+void flush_log()
+{
+    buffered_lines().flush();
 }
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
--- /dev/null
+++ b/src/net/async_client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "base/settings.h"
+#include "http/client.h"
+#include "http/message.h"
+#include "net/event_loop.h"
+
+namespace jl::net {
+
+struct async_client_limits {
+    std::size_t max_connections = 4;
+    std::size_t max_answer_bytes = 8U << 20U;
+    std::chrono::milliseconds connect_timeout{1000};
+};
+
+struct exchange_result {
+    std::optional<http::response> answer;
+    http::client_error error; // meaningful without an answer
+};
+
+// HTTP/1.1 client for one server on the event loop, with a few persistent connections. Exchanges
+// beyond max_connections wait in order. Never retries.
+//
+//   client.exchange(request, 500ms, [](const exchange_result& result) { ... });
+//
+// The callback runs once, on the loop, and never after the client is destroyed. Not thread-safe.
+class async_client {
+public:
+    using callback = std::function<void(const exchange_result&)>;
+
+    async_client(event_loop& loop, endpoint server, async_client_limits limits);
+    ~async_client();
+    async_client(const async_client&) = delete;
+    async_client& operator=(const async_client&) = delete;
+
+    void exchange(http::request request, std::chrono::milliseconds timeout, callback done);
+    const endpoint& server() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace jl::net
--- /dev/null
+++ b/src/net/http_framing.cpp
@@ -0,0 +1,167 @@
+#include "net/http_framing.h"
+
+#include <cstdlib>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/String.h>
+
+namespace jl::net {
+
+namespace {
+
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+http::header_map copy_headers(const Poco::Net::MessageHeader& message)
+{
+    http::header_map headers;
+    for (const auto& [name, value] : message) {
+        headers[name] = value;
+    }
+    return headers;
+}
+
+void append_headers(std::string& out, const http::header_map& headers, std::size_t body_size)
+{
+    for (const auto& [name, value] : headers) {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+    out += "Content-Length: " + std::to_string(body_size) + "\r\n";
+}
+
+} // namespace
+
+message_buffer::message_buffer(std::size_t max_head_bytes, std::size_t max_body_bytes)
+    : max_head_bytes_(max_head_bytes), max_body_bytes_(max_body_bytes)
+{
+}
+
+void message_buffer::append(const char* data, std::size_t size)
+{
+    bytes_.append(data, size);
+}
+
+std::optional<std::size_t> message_buffer::head_size()
+{
+    const auto end = bytes_.find("\r\n\r\n");
+    if (end != std::string::npos) {
+        return end + 4;
+    }
+    if (bytes_.size() > max_head_bytes_) {
+        error_ = framing_error::too_large;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> message_buffer::take_body(std::size_t head, std::size_t length)
+{
+    if (length > max_body_bytes_) {
+        error_ = framing_error::too_large;
+        return std::nullopt;
+    }
+    if (bytes_.size() < head + length) {
+        return std::nullopt;
+    }
+    std::string body = bytes_.substr(head, length);
+    bytes_.erase(0, head + length);
+    return body;
+}
+
+std::optional<http::request> message_buffer::take_request()
+{
+    const auto head = head_size();
+    if (!head) {
+        return std::nullopt;
+    }
+    try {
+        Poco::Net::HTTPRequest parsed;
+        std::istringstream input(bytes_.substr(0, *head));
+        parsed.read(input);
+        if (parsed.getChunkedTransferEncoding()) {
+            error_ = framing_error::length_required;
+            return std::nullopt;
+        }
+        const auto length = parsed.hasContentLength() ? parsed.getContentLength64() : 0;
+        auto body = take_body(*head, static_cast<std::size_t>(length));
+        if (!body) {
+            return std::nullopt;
+        }
+        http::request request;
+        request.method = parsed.getMethod();
+        request.target = parsed.getURI();
+        request.headers = copy_headers(parsed);
+        request.body = std::move(*body);
+        return request;
+    }
+    catch (const Poco::Exception&) {
+        error_ = framing_error::malformed;
+        return std::nullopt;
+    }
+}
+
+std::optional<http::response> message_buffer::take_response()
+{
+    const auto head = head_size();
+    if (!head) {
+        return std::nullopt;
+    }
+    try {
+        Poco::Net::HTTPResponse parsed;
+        std::istringstream input(bytes_.substr(0, *head));
+        parsed.read(input);
+        const int status = parsed.getStatus();
+        const bool bodyless = status == no_content || status == not_modified;
+        if (!bodyless && !parsed.hasContentLength()) {
+            error_ = framing_error::length_required;
+            return std::nullopt;
+        }
+        const auto length = bodyless ? 0 : parsed.getContentLength64();
+        auto body = take_body(*head, static_cast<std::size_t>(length));
+        if (!body) {
+            return std::nullopt;
+        }
+        http::response response;
+        response.status = status;
+        response.headers = copy_headers(parsed);
+        response.body = std::move(*body);
+        return response;
+    }
+    catch (const Poco::Exception&) {
+        error_ = framing_error::malformed;
+        return std::nullopt;
+    }
+}
+
+std::string serialize(const http::request& request)
+{
+    std::string out = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    append_headers(out, request.headers, request.body.size());
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+std::string serialize(const http::response& response, bool keep_alive)
+{
+    const auto status = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status);
+    std::string out = "HTTP/1.1 " + std::to_string(response.status) + ' ' +
+                      Poco::Net::HTTPResponse::getReasonForStatus(status) + "\r\n";
+    append_headers(out, response.headers, response.body.size());
+    out += keep_alive ? "\r\n" : "Connection: close\r\n\r\n";
+    out += response.body;
+    return out;
+}
+
+bool wants_close(const http::header_map& headers)
+{
+    const auto connection = http::find_header(headers, "Connection");
+    return connection && Poco::icompare(*connection, std::string("close")) == 0;
+}
+
+} // namespace jl::net
