--- /dev/null
+++ b/src/decisions/task_placement.cpp
@@ -0,0 +1,53 @@
+#include "decisions/task_placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace jl::decisions {
+
+namespace {
+
+// Recent failures from which a worker is avoided while another has room.
+constexpr double avoided_failure_score = 1.5;
+
+bool fits(const task_demand& task, const worker_room& worker)
+{
+    const auto millicores = task.filler ? 0 : task.millicores;
+    return millicores <= worker.free_millicores && task.memory_mb <= worker.free_memory_mb &&
+           task.accelerators <= worker.free_accelerators &&
+           (task.max_per_worker == 0 || worker.tasks_of_step < task.max_per_worker) &&
+           (task.required_label.empty() ||
+            std::find(worker.labels.begin(), worker.labels.end(), task.required_label) !=
+                worker.labels.end());
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_worker(const task_demand& task,
+                                         const std::vector<worker_room>& workers)
+{
+    // Smaller is better, the first member counts most.
+    const auto rank = [&](const worker_room& worker) {
+        const bool failing = worker.failure_score >= avoided_failure_score ||
+                             (!task.avoided_worker.empty() && worker.worker == task.avoided_worker);
+        const bool remote = !task.preferred_rack.empty() && worker.rack != task.preferred_rack;
+        const int disturbance = task.filler    ? worker.serving_tasks
+                                : task.serving ? worker.filler_tasks
+                                               : 0;
+        // Long-running tasks are spread, so that the loss of a worker takes few of a step.
+        const int crowding = task.long_running ? worker.tasks_of_step : 0;
+        return std::make_tuple(failing, remote, disturbance, crowding, worker.free_millicores);
+    };
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        if (!fits(task, workers[index])) {
+            continue;
+        }
+        if (!best || rank(workers[index]) < rank(workers[*best])) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+} // namespace jl::decisions
--- /dev/null
+++ b/src/jobs/availability.cpp
@@ -0,0 +1,37 @@
+#include "jobs/availability.h"
+
+#include <algorithm>
+
+namespace jl::jobs {
+
+namespace {
+
+constexpr int full_progress = 100;
+// For steps that state no limit.
+constexpr int default_max_unavailable = 1;
+
+} // namespace
+
+bool at_work(const task& target)
+{
+    return target.phase == task_phase::running && target.percent >= full_progress;
+}
+
+bool may_interrupt(task& target)
+{
+    const auto& spec = target.spec();
+    const int allowed = spec.max_unavailable > 0 ? spec.max_unavailable : default_max_unavailable;
+    for (const auto& occurrence : target.owner->occurrences) {
+        if (occurrence.number != target.occurrence) {
+            continue;
+        }
+        const auto& tasks = occurrence.steps[static_cast<std::size_t>(target.step)].tasks;
+        const auto away = std::count_if(tasks.begin(), tasks.end(), [&](const task& other) {
+            return &other != &target && !at_work(other);
+        });
+        return away < allowed;
+    }
+    return true;
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/engine.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jobs/advice_book.h"
+#include "jobs/job_record.h"
+#include "jobs/job_scheduler.h"
+#include "jobs/job_service.h"
+#include "jobs/job_table.h"
+#include "jobs/leadership.h"
+#include "jobs/ports.h"
+#include "jobs/record_writer.h"
+#include "jobs/task_runner.h"
+#include "jobs/watched_prefix.h"
+
+namespace jl::jobs {
+
+class vm_manager;
+
+// Limits of the platform that the engine depends on.
+struct engine_settings {
+    milliseconds max_lease{6000};
+    milliseconds leader_ttl{2000};
+    milliseconds stop_time{400};
+    milliseconds status_retention{120000};
+    milliseconds vm_order_interval{3000}; // least time between orders of two leaders to one VM
+};
+
+// The ports that the engine uses; vms and advisor may be null. All must outlive the engine.
+struct engine_ports {
+    store_port* store = nullptr;
+    worker_connector* workers = nullptr;
+    vm_port* vms = nullptr;
+    advice_port* advisor = nullptr;
+    const document_codec* documents = nullptr;
+};
+
+// The leader's work: accepts jobs, runs their tasks on the workers, keeps the records. It begins
+// with what the store and the workers tell and ends with the leadership; nothing is kept across.
+//
+// `may_act` is asked before each order and tells whether the leadership certainly holds. `fenced`
+// is called when a newer leader was seen; the engine must be destroyed after the callback returns.
+// Not thread-safe.
+class engine final : public job_service, private task_events {
+public:
+    engine(net::timer_service& timers, engine_ports ports, engine_settings settings,
+           const leader_record& leader, std::function<bool()> may_act,
+           std::function<void(const std::string&)> fenced);
+    ~engine() override;
+    engine(const engine&) = delete;
+    engine& operator=(const engine&) = delete;
+
+    // True once the records, the configuration and the workers' entries have been read.
+    bool ready() const;
+    // True if all records are in the store.
+    bool settled() const;
+
+    const fleet_config* config() const override;
+    void submit(job_spec spec, std::function<void(submit_outcome)> done) override;
+    std::optional<job_state> state(const std::string& id) const override;
+    void cancel(const std::string& id, std::function<void(cancel_outcome)> done) override;
+    std::size_t waiting(const std::string& queue) const override;
+
+    job_table& jobs() { return jobs_; }
+    task_runner& runner() { return *runner_; }
+
+private:
+    std::int64_t task_done(task& ended) override;
+    std::int64_t task_failed(task& ended) override;
+    void task_released(task& released, const char* reason) override;
+    void task_progressed(task& running) override;
+    void workers_changed() override;
+    void fenced(const std::string& worker) override;
+
+    void load();
+    void on_loaded(const store_listing& listing);
+    void load_job(const store_item& item);
+    void load_roster(const store_item& item);
+    void on_operator_item(const store_item& item);
+    void adopt_config(fleet_config config);
+    void on_worker_item(const store_item& item);
+
+    std::optional<record_writer::record> encode_record(const std::string& key);
+    void on_durable(const std::string& key, std::int64_t version);
+    void on_job_durable(job& target, std::int64_t version);
+    void on_roster_durable(std::int64_t version);
+
+    std::int64_t record_change(job& target);
+    void settle_occurrence(job& target);
+    void finish(job& target, job_state state);
+    void stop_tasks(job& target, const char* reason);
+    void release_gang(task& member);
+    void extend_services(job& target, const std::string& service);
+    bool services_resolved(const job& target) const;
+
+    void tick_soon();
+    void tick();
+    void begin_due_occurrences();
+    void resolve_tasks();
+    void retire_finished();
+    void relocate_from_draining();
+    void control_pace();
+    void update_roster();
+    void housekeeping();
+
+    net::timer_service& timers_;
+    engine_ports ports_;
+    engine_settings settings_;
+    leader_record leader_;
+    std::function<bool()> may_act_;
+    std::function<void(const std::string&)> fenced_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+    job_table jobs_;
+    std::optional<fleet_config> config_;
+    std::unique_ptr<record_writer> writer_;
+    std::unique_ptr<task_runner> runner_;
+    std::unique_ptr<advice_book> advice_;
+    std::unique_ptr<job_scheduler> scheduler_;
+    std::unique_ptr<vm_manager> vms_;
+    std::unique_ptr<watched_prefix> workers_;
+    std::unique_ptr<watched_prefix> operators_;
+    bool loaded_ = false;
+    bool unresolved_ = false; // some task of a former leader may run unknown to us
+    bool ended_ = false;      // a newer leader was seen
+
+    std::map<std::string, roster_entry> roster_;
+    std::int64_t roster_version_ = 0;
+    std::map<std::int64_t, std::vector<std::string>> roster_members_; // by version not yet durable
+
+    net::boot_time last_tick_{};
+    net::timer_service::timer_id tick_timer_ = 0;
+    net::timer_service::timer_id housekeeping_timer_ = 0;
+};
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/job_record.cpp
@@ -0,0 +1,225 @@
+#include "jobs/job_record.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+namespace jl::jobs {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr char done_mark = 'd';
+constexpr int max_recorded_failures = 9;
+
+json encode_step(const step_spec& step)
+{
+    // Positions, not names: the record is rewritten at each end of a task.
+    return json::array({step.count, step.request.millicores, step.request.memory_mb,
+                        step.request.accelerators, step.estimate.count(), step.after,
+                        step.checkpointing, step.gang, step.same_rack, step.required_label,
+                        step.preferred_rack, step.max_per_worker, step.speculative,
+                        step.long_running, step.image, step.latency_target.count(), step.filler,
+                        step.max_unavailable});
+}
+
+step_spec decode_step(const json& row)
+{
+    step_spec step;
+    std::size_t column = 0;
+    step.count = row.at(column++).get<int>();
+    step.request.millicores = row.at(column++).get<std::int64_t>();
+    step.request.memory_mb = row.at(column++).get<std::int64_t>();
+    step.request.accelerators = row.at(column++).get<std::int64_t>();
+    step.estimate = milliseconds(row.at(column++).get<std::int64_t>());
+    step.after = row.at(column++).get<std::vector<int>>();
+    step.checkpointing = row.at(column++).get<bool>();
+    step.gang = row.at(column++).get<bool>();
+    step.same_rack = row.at(column++).get<bool>();
+    step.required_label = row.at(column++).get<std::string>();
+    step.preferred_rack = row.at(column++).get<std::string>();
+    step.max_per_worker = row.at(column++).get<int>();
+    step.speculative = row.at(column++).get<bool>();
+    step.long_running = row.at(column++).get<bool>();
+    step.image = row.at(column++).get<std::string>();
+    step.latency_target = milliseconds(row.at(column++).get<std::int64_t>());
+    step.filler = row.at(column++).get<bool>();
+    step.max_unavailable = row.at(column++).get<int>();
+    return step;
+}
+
+// One character for each task: done, or the number of its failures.
+std::string encode_marks(const step_progress& step)
+{
+    std::string marks;
+    for (const auto& task : step.tasks) {
+        marks += task.phase == task_phase::done
+                     ? done_mark
+                     : static_cast<char>('0' + std::min(task.failures, max_recorded_failures));
+    }
+    return marks;
+}
+
+json encode_occurrence(const occurrence_progress& occurrence)
+{
+    json marks = json::array();
+    json details = json::array(); // of tasks with a checkpoint or failures
+    for (const auto& step : occurrence.steps) {
+        marks.push_back(encode_marks(step));
+        for (const auto& task : step.tasks) {
+            if (task.phase != task_phase::done &&
+                (!task.checkpoint.empty() || task.last_failed_run != 0)) {
+                details.push_back(
+                    json::array({task.step, task.index, task.checkpoint, task.last_failed_run}));
+            }
+        }
+    }
+    return json::array({occurrence.number, std::move(marks), std::move(details)});
+}
+
+void restore_marks(const std::string& marks, step_progress& step)
+{
+    for (std::size_t index = 0; index < step.tasks.size() && index < marks.size(); ++index) {
+        auto& target = step.tasks[index];
+        if (marks[index] == done_mark) {
+            target.phase = task_phase::done;
+            ++step.done;
+            continue;
+        }
+        target.failures = marks[index] - '0';
+        target.phase = task_phase::unresolved;
+    }
+}
+
+void restore_occurrence(const json& row, job& target)
+{
+    target.next_occurrence = row.at(0).get<int>();
+    auto& occurrence = begin_occurrence(target);
+    const auto& marks = row.at(1);
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        restore_marks(marks.at(step).get<std::string>(), occurrence.steps[step]);
+    }
+    for (const auto& detail : row.at(2)) {
+        auto& step = occurrence.steps.at(detail.at(0).get<std::size_t>());
+        auto& restored = step.tasks.at(detail.at(1).get<std::size_t>());
+        restored.checkpoint = detail.at(2).get<std::string>();
+        restored.last_failed_run = detail.at(3).get<std::int64_t>();
+    }
+}
+
+json encode_spec(const job_spec& spec)
+{
+    json steps = json::array();
+    for (const auto& step : spec.steps) {
+        steps.push_back(encode_step(step));
+    }
+    return json::array({spec.payload, std::move(steps), spec.occurrences, spec.first_run.count(),
+                        spec.interval.count()});
+}
+
+void decode_spec(const json& row, job_spec& spec)
+{
+    spec.payload = row.at(0).get<std::string>();
+    for (const auto& step : row.at(1)) {
+        spec.steps.push_back(decode_step(step));
+    }
+    spec.occurrences = row.at(2).get<int>();
+    spec.first_run = milliseconds(row.at(3).get<std::int64_t>());
+    spec.interval = milliseconds(row.at(4).get<std::int64_t>());
+}
+
+std::string to_bytes(const json& document)
+{
+    const auto bytes = json::to_cbor(document);
+    return {bytes.begin(), bytes.end()};
+}
+
+json from_bytes(const std::string& bytes)
+{
+    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+} // namespace
+
+std::string encode_job(const job& source)
+{
+    json document = {{"q", source.spec.queue},
+                     {"s", static_cast<int>(source.state)},
+                     {"a", to_unix(source.accepted).count()},
+                     {"p", source.services},
+                     {"n", source.next_occurrence}};
+    if (source.active()) {
+        document["spec"] = encode_spec(source.spec);
+        json occurrences = json::array();
+        for (const auto& occurrence : source.occurrences) {
+            occurrences.push_back(encode_occurrence(occurrence));
+        }
+        document["o"] = std::move(occurrences);
+    }
+    return to_bytes(document);
+}
+
+bool decode_job(const std::string& value, job& target)
+{
+    try {
+        const auto document = from_bytes(value);
+        if (!document.is_object()) {
+            return false;
+        }
+        target.spec.queue = document.at("q").get<std::string>();
+        target.state = static_cast<job_state>(document.at("s").get<int>());
+        target.accepted = from_unix(milliseconds(document.at("a").get<std::int64_t>()));
+        target.services = document.at("p").get<std::vector<std::string>>();
+        if (document.contains("spec")) {
+            decode_spec(document.at("spec"), target.spec);
+            for (const auto& row : document.at("o")) {
+                restore_occurrence(row, target);
+            }
+        }
+        target.next_occurrence = document.at("n").get<int>();
+        target.durable_state = target.state;
+        return true;
+    }
+    catch (const json::exception&) {
+        return false;
+    }
+    catch (const std::out_of_range&) {
+        return false;
+    }
+}
+
+std::string encode_roster(const std::vector<roster_entry>& roster)
+{
+    json rows = json::array();
+    for (const auto& entry : roster) {
+        rows.push_back(json::array({entry.worker, entry.service, entry.address.to_string()}));
+    }
+    return to_bytes(rows);
+}
+
+std::optional<std::vector<roster_entry>> decode_roster(const std::string& value)
+{
+    try {
+        const auto rows = from_bytes(value);
+        if (!rows.is_array()) {
+            return std::nullopt;
+        }
+        std::vector<roster_entry> roster;
+        for (const auto& row : rows) {
+            const auto address = parse_endpoint(row.at(2).get<std::string>());
+            if (!address) {
+                return std::nullopt;
+            }
+            roster.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(), *address});
+        }
+        return roster;
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/job_scheduler.cpp
@@ -0,0 +1,334 @@
+#include "jobs/job_scheduler.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "base/log.h"
+#include "decisions/job_order.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Completion up to this many objectives after the submission still earns something.
+constexpr int late_objectives = 3;
+
+decisions::task_demand demand_of(const task& target)
+{
+    const auto& spec = target.spec();
+    decisions::task_demand demand;
+    demand.millicores = spec.request.millicores;
+    demand.memory_mb = spec.request.memory_mb;
+    demand.accelerators = spec.request.accelerators;
+    demand.required_label = spec.required_label;
+    demand.preferred_rack = spec.preferred_rack;
+    demand.max_per_worker = spec.max_per_worker;
+    demand.filler = spec.filler;
+    demand.serving = spec.latency_target > 0ms;
+    demand.long_running = spec.long_running;
+    demand.avoided_worker = target.last_failed_worker;
+    return demand;
+}
+
+void subtract(decisions::worker_room& room, const step_spec& spec)
+{
+    room.free_millicores -= spec.filler ? 0 : spec.request.millicores;
+    room.free_memory_mb -= spec.request.memory_mb;
+    room.free_accelerators -= spec.request.accelerators;
+    room.serving_tasks += spec.latency_target > 0ms ? 1 : 0;
+    room.filler_tasks += spec.filler ? 1 : 0;
+}
+
+decisions::worker_room room_of(const worker_slot& slot, net::boot_time now)
+{
+    const auto& info = slot.info();
+    decisions::worker_room room;
+    room.worker = info.id;
+    room.rack = info.rack;
+    room.labels = info.labels;
+    room.free_millicores = info.capacity.millicores;
+    room.free_memory_mb = info.capacity.memory_mb;
+    room.free_accelerators = info.capacity.accelerators;
+    room.total_millicores = info.capacity.millicores;
+    const std::chrono::duration<double> age = now - slot.failure_score_at;
+    room.failure_score = slot.failure_score / (1.0 + age.count());
+    for (const auto* assigned : slot.assigned) {
+        subtract(room, assigned->spec());
+    }
+    return room;
+}
+
+bool usable(const worker_slot& slot, net::boot_time now)
+{
+    const auto& session = *slot.session;
+    return slot.listed && slot.rostered && !slot.retiring && !slot.info().draining &&
+           session.contacted() && session.reachable() && !session.dead() &&
+           now >= slot.unhealthy_until && now >= slot.full_until;
+}
+
+bool is_waiting(const task& target, net::boot_time now)
+{
+    return target.phase == task_phase::waiting && target.not_before <= now;
+}
+
+std::string step_name(const task& target)
+{
+    return target.owner->spec.id + '.' + std::to_string(target.occurrence) + '.' +
+           std::to_string(target.step);
+}
+
+bool has_waiting_task(const job& target, net::boot_time now)
+{
+    for (const auto& occurrence : target.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            for (const auto& task : step.tasks) {
+                if (is_waiting(task, now)) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+double remaining_core_seconds(const job& target)
+{
+    double total = 0;
+    for (const auto& occurrence : target.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (step.tasks.empty()) {
+                continue;
+            }
+            const auto& spec = step.tasks.front().spec();
+            const auto left = static_cast<double>(step.tasks.size()) - step.done;
+            total += left * static_cast<double>(spec.request.millicores) / 1000.0 *
+                     static_cast<double>(spec.estimate.count()) / 1000.0;
+        }
+    }
+    return total;
+}
+
+milliseconds remaining_chain(const job& target)
+{
+    milliseconds longest{0};
+    for (const auto& occurrence : target.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!occurrence.steps[step].complete()) {
+                longest = std::max(longest, chain_from(target.spec, step));
+            }
+        }
+    }
+    return longest;
+}
+
+// The state of one pool during a pass.
+struct job_scheduler::pool_pass {
+    std::vector<decisions::worker_room> rooms;
+    std::vector<worker_slot*> slots; // of the rooms, in the same order
+    std::vector<std::string> workers;
+    net::boot_time now;
+    bool full = false;
+
+    // Counts the tasks of the step on each worker for the placement.
+    void count_step(const step_progress& step)
+    {
+        std::map<std::string, int> counts;
+        for (const auto& task : step.tasks) {
+            if (task.on_worker()) {
+                ++counts[task.worker];
+            }
+        }
+        for (auto& room : rooms) {
+            const auto found = counts.find(room.worker);
+            room.tasks_of_step = found == counts.end() ? 0 : found->second;
+        }
+    }
+};
+
+job_scheduler::job_scheduler(net::timer_service& timers, job_table& jobs, task_runner& runner,
+                             advice_book* advice)
+    : timers_(timers), jobs_(jobs), runner_(runner), advice_(advice)
+{
+}
+
+void job_scheduler::pass(const fleet_config& config)
+{
+    const auto now = timers_.now();
+    std::map<std::string, std::vector<job*>> by_service;
+    for (auto* const target : jobs_.active()) {
+        if (!target->durable() || !target->active() || !has_waiting_task(*target, now)) {
+            continue;
+        }
+        const auto* const queue = config.find_queue(target->spec.queue);
+        if (queue != nullptr) {
+            by_service[queue->service].push_back(target);
+        }
+    }
+    for (const auto& [service, jobs] : by_service) {
+        pass_pool(config, service, jobs);
+    }
+}
+
+void job_scheduler::pass_pool(const fleet_config& config, const std::string& service,
+                              const std::vector<job*>& jobs)
+{
+    pool_pass pool;
+    pool.now = timers_.now();
+    for (auto& [worker, slot] : runner_.slots()) {
+        if (slot.info().service == service && usable(slot, pool.now)) {
+            pool.rooms.push_back(room_of(slot, pool.now));
+            pool.slots.push_back(&slot);
+            pool.workers.push_back(worker);
+        }
+    }
+    if (pool.rooms.empty()) {
+        return;
+    }
+    std::vector<decisions::job_demand> demands;
+    for (std::size_t index = 0; index < jobs.size(); ++index) {
+        const auto& target = *jobs[index];
+        const auto* const queue = config.find_queue(target.spec.queue);
+        const auto objective = queue->latency_objective +
+                               std::chrono::duration_cast<milliseconds>(
+                                   longest_chain(target.spec) * queue->stretch);
+        decisions::job_demand demand;
+        demand.job = index;
+        demand.priority = queue->priority;
+        demand.long_running = target.spec.steps.front().long_running;
+        demand.started = target.any_started;
+        demand.time_left =
+            std::chrono::duration_cast<milliseconds>(target.objective - pool.now);
+        demand.late_time_left = demand.time_left + (late_objectives - 1) * objective;
+        demand.chain = remaining_chain(target);
+        demand.core_seconds = remaining_core_seconds(target);
+        demands.push_back(demand);
+    }
+    for (const auto index : decisions::order_jobs(demands)) {
+        auto& target = *jobs[index];
+        start_job(target, *config.find_queue(target.spec.queue), pool);
+    }
+}
+
+void job_scheduler::start_job(job& target, const queue_config& queue, pool_pass& pool)
+{
+    for (auto& occurrence : target.occurrences) {
+        if (occurrence.begun_version > target.durable_version) {
+            continue;
+        }
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!occurrence.steps[step].complete() && target.step_ready(occurrence, step)) {
+                start_step(target, occurrence, step, queue, pool);
+            }
+        }
+    }
+}
+
+void job_scheduler::start_step(job& target, occurrence_progress& occurrence, std::size_t step,
+                               const queue_config& queue, pool_pass& pool)
+{
+    auto& progress = occurrence.steps[step];
+    std::vector<task*> waiting;
+    for (auto& task : progress.tasks) {
+        if (is_waiting(task, pool.now)) {
+            waiting.push_back(&task);
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    if (queue.needs_advice && advice_ != nullptr) {
+        advice_->want(step_name(*waiting.front()), pool.workers, queue.ticket_validity);
+    }
+    pool.count_step(progress);
+    if (target.spec.steps[step].gang) {
+        if (waiting.size() == progress.tasks.size()) {
+            start_gang(waiting, progress, pool);
+        }
+        return;
+    }
+    for (auto* const task : waiting) {
+        if (!start_one(*task, progress, queue, pool)) {
+            return; // the tasks of a step are equal: no other one fits either
+        }
+    }
+}
+
+// Places all members or none.
+bool job_scheduler::start_gang(std::vector<task*>& members, const step_progress& step,
+                               pool_pass& pool)
+{
+    auto rooms = pool.rooms;
+    std::vector<std::size_t> chosen;
+    const auto& spec = members.front()->spec();
+    for (const auto* const member : members) {
+        auto demand = demand_of(*member);
+        if (spec.same_rack && !chosen.empty()) {
+            demand.preferred_rack = rooms[chosen.front()].rack;
+        }
+        const auto worker = decisions::choose_worker(demand, rooms);
+        if (!worker) {
+            return false;
+        }
+        subtract(rooms[*worker], spec);
+        ++rooms[*worker].tasks_of_step;
+        chosen.push_back(*worker);
+    }
+    std::int64_t run = 0;
+    std::string checkpoint;
+    for (const auto& member : step.tasks) {
+        run = std::max(run, member.run);
+        if (member.checkpoint > checkpoint) {
+            checkpoint = member.checkpoint;
+        }
+    }
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        members[index]->run = run; // all members start under one number
+        members[index]->checkpoint = checkpoint;
+        launch(*members[index], chosen[index], "", pool);
+    }
+    return true;
+}
+
+bool job_scheduler::start_one(task& target, const step_progress&, const queue_config& queue,
+                              pool_pass& pool)
+{
+    const auto demand = demand_of(target);
+    if (!queue.needs_advice || advice_ == nullptr) {
+        const auto worker = decisions::choose_worker(demand, pool.rooms);
+        if (!worker) {
+            return false;
+        }
+        launch(target, *worker, "", pool);
+        return true;
+    }
+    std::vector<decisions::worker_room> allowed;
+    std::vector<std::size_t> indexes;
+    const auto step = step_name(target);
+    for (std::size_t index = 0; index < pool.rooms.size(); ++index) {
+        if (advice_->ticket(step, pool.rooms[index].worker)) {
+            allowed.push_back(pool.rooms[index]);
+            indexes.push_back(index);
+        }
+    }
+    const auto worker = decisions::choose_worker(demand, allowed);
+    if (!worker) {
+        return false;
+    }
+    launch(target, indexes[*worker], *advice_->ticket(step, allowed[*worker].worker), pool);
+    return true;
+}
+
+void job_scheduler::launch(task& target, std::size_t worker, const std::string& ticket,
+                           pool_pass& pool)
+{
+    subtract(pool.rooms[worker], target.spec());
+    ++pool.rooms[worker].tasks_of_step;
+    runner_.start(target, *pool.slots[worker], ticket);
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/job_table.cpp
@@ -0,0 +1,103 @@
+#include "jobs/job_table.h"
+
+#include <algorithm>
+
+namespace jl::jobs {
+
+const step_spec& task::spec() const
+{
+    return owner->spec.steps[static_cast<std::size_t>(step)];
+}
+
+task_name task::name() const
+{
+    return {owner->spec.id, occurrence, step, index};
+}
+
+bool occurrence_progress::complete() const
+{
+    return std::all_of(steps.begin(), steps.end(),
+                       [](const auto& step) { return step.complete(); });
+}
+
+bool job::step_ready(const occurrence_progress& occurrence, std::size_t step) const
+{
+    const auto& earlier = spec.steps[step].after;
+    return std::all_of(earlier.begin(), earlier.end(), [&](int number) {
+        const auto& needed = occurrence.steps[static_cast<std::size_t>(number)];
+        return needed.complete() && needed.done_version <= durable_version;
+    });
+}
+
+occurrence_progress& begin_occurrence(job& target)
+{
+    occurrence_progress occurrence;
+    occurrence.number = target.next_occurrence++;
+    occurrence.steps.resize(target.spec.steps.size());
+    for (std::size_t step = 0; step < target.spec.steps.size(); ++step) {
+        auto& progress = occurrence.steps[step];
+        progress.tasks.resize(static_cast<std::size_t>(target.spec.steps[step].count));
+        for (std::size_t index = 0; index < progress.tasks.size(); ++index) {
+            auto& created = progress.tasks[index];
+            created.owner = &target;
+            created.occurrence = occurrence.number;
+            created.step = static_cast<int>(step);
+            created.index = static_cast<int>(index);
+        }
+    }
+    target.occurrences.push_back(std::move(occurrence));
+    return target.occurrences.back();
+}
+
+milliseconds due_time(const job_spec& spec, int occurrence)
+{
+    return spec.first_run + occurrence * spec.interval;
+}
+
+job* job_table::find(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+job& job_table::insert(job_spec spec)
+{
+    auto created = std::make_unique<job>();
+    created->spec = std::move(spec);
+    auto& reference = *created;
+    jobs_[reference.spec.id] = std::move(created);
+    active_.insert(&reference);
+    return reference;
+}
+
+void job_table::erase(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end()) {
+        active_.erase(found->second.get());
+        jobs_.erase(found);
+    }
+}
+
+task* job_table::find_task(const task_name& name)
+{
+    job* const owner = find(name.job);
+    if (owner == nullptr) {
+        return nullptr;
+    }
+    for (auto& occurrence : owner->occurrences) {
+        if (occurrence.number != name.occurrence) {
+            continue;
+        }
+        if (static_cast<std::size_t>(name.step) >= occurrence.steps.size()) {
+            return nullptr;
+        }
+        auto& tasks = occurrence.steps[static_cast<std::size_t>(name.step)].tasks;
+        return static_cast<std::size_t>(name.index) < tasks.size()
+                   ? &tasks[static_cast<std::size_t>(name.index)]
+                   : nullptr;
+    }
+    return nullptr;
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/leadership.cpp
@@ -0,0 +1,320 @@
+#include "jobs/leadership.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto watch_wait = 5000ms;
+constexpr auto retry_delay = 200ms;
+constexpr auto renewal_retry_delay = 120ms;
+constexpr int renewals_per_ttl = 4;
+
+} // namespace
+
+std::string encode_leader(const leader_record& record)
+{
+    return nlohmann::json{{"node", record.node},
+                          {"address", record.address.to_string()},
+                          {"term", record.term}}
+        .dump();
+}
+
+std::optional<leader_record> decode_leader(const store_item& item)
+{
+    const auto document = nlohmann::json::parse(item.value, nullptr, false);
+    if (document.is_discarded() || !document.is_object()) {
+        return std::nullopt;
+    }
+    const auto address = parse_endpoint(document.value("address", ""));
+    if (!address) {
+        return std::nullopt;
+    }
+    return leader_record{document.value("node", ""), *address,
+                         document.value("term", std::int64_t{0}), item.revision};
+}
+
+leadership::leadership(net::timer_service& timers, store_port& store, leadership_settings settings,
+                       callbacks callbacks)
+    : timers_(timers), store_(store), settings_(std::move(settings)),
+      callbacks_(std::move(callbacks))
+{
+}
+
+leadership::~leadership()
+{
+    *alive_ = false;
+    timers_.cancel(read_timer_);
+    timers_.cancel(renewal_timer_);
+    timers_.cancel(expiry_timer_);
+}
+
+void leadership::start()
+{
+    read();
+}
+
+bool leadership::holds() const
+{
+    return leading_ && timers_.now() < valid_until_;
+}
+
+void leadership::refresh()
+{
+    read_later(0ms);
+}
+
+void leadership::read_later(milliseconds delay)
+{
+    if (read_timer_ != 0) {
+        if (delay > 0ms) {
+            return;
+        }
+        timers_.cancel(read_timer_);
+    }
+    read_timer_ = timers_.call_after(delay, [this] {
+        read_timer_ = 0;
+        read();
+    });
+}
+
+void leadership::read()
+{
+    if (reading_) {
+        return;
+    }
+    reading_ = true;
+    store_.list(prefix, [this, alive = alive_](const store_result<store_listing>& result) {
+        if (!*alive) {
+            return;
+        }
+        reading_ = false;
+        on_read(result);
+    });
+}
+
+void leadership::on_read(const store_result<store_listing>& result)
+{
+    if (!result.value) {
+        read_later(retry_delay);
+        return;
+    }
+    std::optional<leader_record> seen;
+    term_ = 0;
+    term_revision_ = 0;
+    for (const auto& item : result.value->items) {
+        if (item.key == leader_key) {
+            seen = decode_leader(item);
+        }
+        else if (item.key == term_key) {
+            term_ = std::strtoll(item.value.c_str(), nullptr, 10);
+            term_revision_ = item.revision;
+        }
+    }
+    if (leading_ && (!seen || seen->token != leader_->token)) {
+        step_down("the leader key is no longer ours");
+    }
+    learn(seen);
+    if (!seen && !resigned_ && !standing_) {
+        standing_ = true;
+        timers_.call_after(settings_.candidacy_delay, [this, alive = alive_] {
+            if (*alive) {
+                stand();
+            }
+        });
+    }
+    watch(result.value->at);
+}
+
+void leadership::watch(std::int64_t after)
+{
+    if (watching_) {
+        return;
+    }
+    watching_ = true;
+    store_.watch(prefix, after, watch_wait,
+                 [this, after, alive = alive_](const store_result<store_listing>& result) {
+                     if (!*alive) {
+                         return;
+                     }
+                     watching_ = false;
+                     if (!result.value) {
+                         read_later(retry_delay);
+                         return;
+                     }
+                     if (result.value->items.empty()) {
+                         watch(std::max(after, result.value->at));
+                         return;
+                     }
+                     read();
+                 });
+}
+
+void leadership::learn(const std::optional<leader_record>& leader)
+{
+    if (leader_ == leader) {
+        return;
+    }
+    leader_ = leader;
+    log_event(log_level::info, "leader.seen",
+              {{"leader", leader ? leader->node : "none"},
+               {"term", std::to_string(leader ? leader->term : term_)}});
+    callbacks_.leader_changed();
+}
+
+void leadership::stand()
+{
+    if (resigned_ || leading_ || leader_) {
+        standing_ = false;
+        return;
+    }
+    const auto asked = timers_.now();
+    store_.grant_lease(settings_.lease_ttl,
+                       [this, asked, alive = alive_](const store_result<store_lease>& result) {
+                           if (!*alive) {
+                               return;
+                           }
+                           if (!result.value) {
+                               standing_ = false;
+                               read_later(retry_delay);
+                               return;
+                           }
+                           campaign(*result.value, asked);
+                       });
+}
+
+void leadership::campaign(const store_lease& lease, net::boot_time granted)
+{
+    leader_record record;
+    record.node = settings_.node;
+    record.address = settings_.address;
+    record.term = term_ + 1;
+    store_transaction transaction;
+    transaction.conditions = {{leader_key, 0}, {term_key, term_revision_}};
+    transaction.writes = {{leader_key, encode_leader(record), lease.id},
+                          {term_key, std::to_string(record.term), 0}};
+    store_.commit(transaction, [this, record, lease, granted,
+                                alive = alive_](const store_result<commit_outcome>& result) {
+        if (*alive) {
+            standing_ = false;
+            term_ = record.term - 1;
+            finish_campaign(result, lease, granted);
+        }
+    });
+}
+
+void leadership::finish_campaign(const store_result<commit_outcome>& result,
+                                 const store_lease& lease, net::boot_time granted)
+{
+    if (result.value && result.value->committed && !resigned_) {
+        leader_record record;
+        record.node = settings_.node;
+        record.address = settings_.address;
+        record.term = term_ + 1;
+        record.token = result.value->revision;
+        become_leader(record, lease, granted);
+        return;
+    }
+    // Ending the lease also removes the key if a commit without an answer took effect.
+    store_.end_lease(lease.id, [] {});
+    read_later(result.value ? 0ms : retry_delay);
+}
+
+void leadership::become_leader(const leader_record& record, const store_lease& lease,
+                               net::boot_time granted)
+{
+    leading_ = true;
+    lease_ = lease;
+    valid_until_ = granted + lease.ttl;
+    leader_ = record;
+    log_event(log_level::info, "leader.elected",
+              {{"term", std::to_string(record.term)}, {"token", std::to_string(record.token)}});
+    schedule_renewal(lease.ttl / renewals_per_ttl);
+    check_expiry();
+    callbacks_.leader_changed();
+    callbacks_.elected(record);
+}
+
+void leadership::schedule_renewal(milliseconds delay)
+{
+    timers_.cancel(renewal_timer_);
+    renewal_timer_ = timers_.call_after(delay, [this] {
+        renewal_timer_ = 0;
+        renew();
+    });
+}
+
+void leadership::renew()
+{
+    if (!leading_) {
+        return;
+    }
+    const auto asked = timers_.now();
+    const auto lease = lease_.id;
+    store_.renew_lease(lease, [this, asked, lease,
+                               alive = alive_](const store_result<milliseconds>& result) {
+        if (!*alive || !leading_ || lease_.id != lease) {
+            return;
+        }
+        if (result.value) {
+            valid_until_ = std::max(valid_until_, asked + *result.value);
+            schedule_renewal(lease_.ttl / renewals_per_ttl);
+            return;
+        }
+        if (result.error == store_error::lease_ended) {
+            step_down("the lease has ended");
+            return;
+        }
+        schedule_renewal(renewal_retry_delay);
+    });
+}
+
+void leadership::check_expiry()
+{
+    timers_.cancel(expiry_timer_);
+    expiry_timer_ = 0;
+    if (!leading_) {
+        return;
+    }
+    const auto left = valid_until_ - timers_.now();
+    if (left <= 0ms) {
+        step_down("the lease could not be renewed in time");
+        return;
+    }
+    expiry_timer_ = timers_.call_after(left, [this] { check_expiry(); });
+}
+
+void leadership::step_down(const std::string& reason)
+{
+    if (!leading_) {
+        return;
+    }
+    leading_ = false;
+    timers_.cancel(renewal_timer_);
+    timers_.cancel(expiry_timer_);
+    renewal_timer_ = 0;
+    expiry_timer_ = 0;
+    log_event(log_level::warning, "leader.deposed",
+              {{"reason", reason}, {"term", std::to_string(leader_ ? leader_->term : 0)}});
+    store_.end_lease(lease_.id, [] {});
+    leader_.reset();
+    callbacks_.deposed(reason);
+    read_later(retry_delay);
+}
+
+void leadership::resign()
+{
+    resigned_ = true;
+    step_down("the process is shutting down");
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/model.cpp
@@ -0,0 +1,101 @@
+#include "jobs/model.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jl::jobs {
+
+namespace {
+
+std::optional<int> parse_number(const std::string& text, std::size_t begin, std::size_t end)
+{
+    int value = 0;
+    const auto* first = text.data() + begin;
+    const auto* last = text.data() + end;
+    const auto [stop, error] = std::from_chars(first, last, value);
+    if (error != std::errc{} || stop != last || value < 0) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool follows(const step_spec& step, std::size_t earlier)
+{
+    return std::find(step.after.begin(), step.after.end(), static_cast<int>(earlier)) !=
+           step.after.end();
+}
+
+} // namespace
+
+const queue_config* fleet_config::find_queue(const std::string& host, const std::string& path) const
+{
+    const queue_config* best = nullptr;
+    for (const auto& queue : queues) {
+        if (queue.host != host || path.compare(0, queue.prefix.size(), queue.prefix) != 0) {
+            continue;
+        }
+        if (best == nullptr || queue.prefix.size() > best->prefix.size()) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const queue_config* fleet_config::find_queue(const std::string& name) const
+{
+    const auto found = std::find_if(queues.begin(), queues.end(),
+                                    [&](const auto& queue) { return queue.name == name; });
+    return found == queues.end() ? nullptr : &*found;
+}
+
+const service_config* fleet_config::find_service(const std::string& name) const
+{
+    const auto found = std::find_if(services.begin(), services.end(),
+                                    [&](const auto& service) { return service.name == name; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+milliseconds chain_from(const job_spec& spec, std::size_t step)
+{
+    milliseconds longest{0};
+    for (std::size_t later = step + 1; later < spec.steps.size(); ++later) {
+        if (follows(spec.steps[later], step)) {
+            longest = std::max(longest, chain_from(spec, later));
+        }
+    }
+    return spec.steps[step].estimate + longest;
+}
+
+milliseconds longest_chain(const job_spec& spec)
+{
+    milliseconds longest{0};
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        longest = std::max(longest, chain_from(spec, step));
+    }
+    return longest;
+}
+
+std::string task_name::to_string() const
+{
+    return job + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.' +
+           std::to_string(index);
+}
+
+std::optional<task_name> parse_task_name(const std::string& text)
+{
+    const auto first = text.find('.');
+    const auto second = first == std::string::npos ? first : text.find('.', first + 1);
+    const auto third = second == std::string::npos ? second : text.find('.', second + 1);
+    if (third == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto occurrence = parse_number(text, first + 1, second);
+    const auto step = parse_number(text, second + 1, third);
+    const auto index = parse_number(text, third + 1, text.size());
+    if (!occurrence || !step || !index) {
+        return std::nullopt;
+    }
+    return task_name{text.substr(0, first), *occurrence, *step, *index};
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/task_runner.cpp
@@ -0,0 +1,571 @@
+#include "jobs/task_runner.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto order_timeout = 700ms;
+constexpr auto order_retry_delay = 60ms;
+constexpr auto stop_retry_delay = 250ms;
+constexpr int max_start_attempts = 3;
+constexpr auto unhealthy_pause = 500ms;
+constexpr auto full_pause = 120ms;
+constexpr auto rejected_pause = 1000ms;
+// Beyond the worker's own time for a stop, before a task that it does not list counts as gone.
+constexpr auto stop_slack = 60ms;
+// A worker that is no longer registered is kept in contact for this long.
+constexpr auto unlisted_retention = 5000ms;
+// Run numbers of each term begin at a multiple of this, above all runs of earlier terms.
+constexpr std::int64_t runs_per_term = 1000;
+constexpr double failure_half_life_s = 2.0;
+
+const net::boot_time never{};
+
+} // namespace
+
+task_runner::task_runner(net::timer_service& timers, worker_connector& connector, job_table& jobs,
+                         task_events& events, runner_settings settings)
+    : timers_(timers), connector_(connector), jobs_(jobs), events_(events), settings_(settings)
+{
+}
+
+task_runner::~task_runner()
+{
+    *alive_ = false;
+}
+
+worker_slot* task_runner::find_slot(const std::string& worker)
+{
+    const auto found = slots_.find(worker);
+    return found == slots_.end() ? nullptr : &found->second;
+}
+
+void task_runner::worker_listed(const listed_worker& info, bool from_roster)
+{
+    const auto found = slots_.find(info.id);
+    if (found != slots_.end() && !(found->second.info().address == info.address) &&
+        info.born > found->second.info().born) {
+        on_lost(*found->second.session, "the worker has restarted at another address");
+        slots_.erase(found);
+    }
+    else if (found != slots_.end()) {
+        found->second.listed = true;
+        found->second.session->update(info);
+        events_.workers_changed();
+        return;
+    }
+    auto session_settings = settings_.session;
+    if (!from_roster) {
+        session_settings.former_lease = 0ms;
+    }
+    auto& slot = slots_[info.id];
+    slot.from_roster = from_roster;
+    slot.listed = !from_roster;
+    slot.session = std::make_unique<worker_session>(timers_, static_cast<session_listener&>(*this),
+                                                    connector_.connect(info.address, info.id), info,
+                                                    settings_.token, session_settings);
+    events_.workers_changed();
+}
+
+void task_runner::worker_unlisted(const std::string& worker)
+{
+    auto* const slot = find_slot(worker);
+    if (slot != nullptr && slot->listed) {
+        slot->listed = false;
+        slot->unlisted_at = timers_.now();
+        events_.workers_changed();
+    }
+}
+
+bool task_runner::forget_unlisted()
+{
+    bool any = false;
+    const auto now = timers_.now();
+    for (auto next = slots_.begin(); next != slots_.end();) {
+        const auto& slot = next->second;
+        const bool settled = slot.session->dead() || now >= slot.unlisted_at + unlisted_retention;
+        if (!slot.listed && slot.assigned.empty() && settled && slot.session->resolved()) {
+            next = slots_.erase(next);
+            any = true;
+        }
+        else {
+            ++next;
+        }
+    }
+    return any;
+}
+
+bool task_runner::service_resolved(const std::string& service) const
+{
+    return std::all_of(slots_.begin(), slots_.end(), [&](const auto& entry) {
+        const auto& slot = entry.second;
+        return !slot.from_roster || slot.info().service != service || slot.session->resolved();
+    });
+}
+
+// --- Orders ------------------------------------------------------------------------------------
+
+task* task_runner::current(const task_name& name, std::int64_t run, const std::string& worker)
+{
+    task* const found = jobs_.find_task(name);
+    const bool same = found != nullptr && found->on_worker() && found->run == run &&
+                      found->worker == worker;
+    return same ? found : nullptr;
+}
+
+void task_runner::start(task& target, worker_slot& slot, const std::string& ticket)
+{
+    const auto first_run_of_term = (settings_.term - 1) * runs_per_term;
+    target.run = std::max(target.run, first_run_of_term) + 1;
+    target.phase = task_phase::starting;
+    target.worker = slot.info().id;
+    target.ticket = ticket;
+    target.percent = 0;
+    target.load = 0;
+    target.pace = 100;
+    target.changed = timers_.now();
+    target.order_confirmed = never;
+    target.order_attempts = 0;
+    target.owner->any_started = true;
+    slot.assigned.insert(&target);
+    send_start(target.name(), target.run, target.worker);
+}
+
+void task_runner::send_start(const task_name& name, std::int64_t run, const std::string& worker)
+{
+    task* const target = current(name, run, worker);
+    auto* const slot = find_slot(worker);
+    if (target == nullptr || slot == nullptr || target->phase != task_phase::starting) {
+        return;
+    }
+    ++target->order_attempts;
+    start_order order;
+    order.task = name;
+    order.run = run;
+    order.payload = target->owner->spec.payload;
+    order.checkpoint = target->checkpoint;
+    order.ticket = target->ticket;
+    slot->session->start(std::move(order), order_timeout,
+                         [this, name, run, worker](const order_result& result) {
+                             on_started(name, run, worker, result);
+                         });
+}
+
+void task_runner::on_started(const task_name& name, std::int64_t run, const std::string& worker,
+                             const order_result& result)
+{
+    auto* const slot = find_slot(worker);
+    if (result.status == order_status::fenced) {
+        events_.fenced(worker);
+        return;
+    }
+    task* const target = current(name, run, worker);
+    if (target == nullptr || slot == nullptr || target->phase != task_phase::starting) {
+        return;
+    }
+    const auto now = timers_.now();
+    if (result.status != order_status::accepted) {
+        log_event(log_level::info, "task.start_refused",
+                  {{"task", name.to_string()},
+                   {"run", std::to_string(run)},
+                   {"worker", worker},
+                   {"reason", to_string(result.status)}});
+    }
+    switch (result.status) {
+    case order_status::accepted:
+        target->phase = task_phase::running;
+        target->changed = now;
+        target->order_confirmed = now;
+        return;
+    case order_status::unanswered:
+        retry_start(*target);
+        return;
+    case order_status::superseded:
+        if (target->order_attempts > 1) {
+            // An earlier copy of this start was carried out and has ended: the lists tell how.
+            target->phase = task_phase::stopping;
+            target->order_confirmed = now;
+            slot->session->look();
+            return;
+        }
+        break;
+    case order_status::no_room:
+        slot->full_until = now + full_pause;
+        break;
+    case order_status::unhealthy:
+        slot->unhealthy_until = now + unhealthy_pause;
+        note_failure(*slot);
+        break;
+    case order_status::rejected:
+        target->not_before = now + rejected_pause;
+        break;
+    case order_status::not_sent:
+        if (target->order_attempts > 1) {
+            retry_start(*target); // an earlier copy was sent
+            return;
+        }
+        slot->unhealthy_until = now + unhealthy_pause;
+        slot->session->look();
+        break;
+    default:
+        break;
+    }
+    release(*target, to_string(result.status));
+}
+
+void task_runner::retry_start(task& target)
+{
+    if (target.order_attempts >= max_start_attempts) {
+        stop(target, "the start stays unanswered");
+        return;
+    }
+    timers_.call_after(order_retry_delay, [this, alive = alive_, name = target.name(),
+                                           run = target.run, worker = target.worker] {
+        if (*alive) {
+            send_start(name, run, worker);
+        }
+    });
+}
+
+void task_runner::stop(task& target, const char* reason)
+{
+    if (!target.on_worker() || target.phase == task_phase::stopping) {
+        return;
+    }
+    log_event(log_level::info, "task.stop",
+              {{"task", target.name().to_string()},
+               {"run", std::to_string(target.run)},
+               {"worker", target.worker},
+               {"reason", reason}});
+    target.phase = task_phase::stopping;
+    target.changed = timers_.now();
+    target.order_confirmed = never;
+    target.order_attempts = 0;
+    send_stop(target.name(), target.run, target.worker);
+}
+
+void task_runner::send_stop(const task_name& name, std::int64_t run, const std::string& worker)
+{
+    task* const target = current(name, run, worker);
+    auto* const slot = find_slot(worker);
+    if (target == nullptr || slot == nullptr || target->phase != task_phase::stopping) {
+        return;
+    }
+    ++target->order_attempts;
+    stop_order order;
+    order.task = name;
+    order.run = run;
+    slot->session->stop(order, order_timeout, [this, name, run,
+                                               worker](const order_result& result) {
+        if (result.status == order_status::fenced) {
+            events_.fenced(worker);
+            return;
+        }
+        task* const stopped = current(name, run, worker);
+        if (stopped == nullptr) {
+            return;
+        }
+        const bool settled = result.status == order_status::accepted ||
+                             result.status == order_status::superseded ||
+                             result.status == order_status::rejected;
+        if (settled) {
+            stopped->order_confirmed = timers_.now();
+        }
+        const auto delay = settled ? settings_.stop_time + stop_slack : milliseconds(stop_retry_delay);
+        timers_.call_after(delay, [this, alive = alive_, settled, name, run, worker] {
+            if (!*alive || current(name, run, worker) == nullptr) {
+                return;
+            }
+            if (settled) {
+                find_slot(worker)->session->look();
+            }
+            else {
+                send_stop(name, run, worker);
+            }
+        });
+    });
+}
+
+// Stops a run that is not the current one of its task.
+void task_runner::stop_stray(worker_slot& slot, const task_name& name, std::int64_t run)
+{
+    log_event(log_level::warning, "task.stray_run",
+              {{"task", name.to_string()},
+               {"run", std::to_string(run)},
+               {"worker", slot.info().id}});
+    stop_order order;
+    order.task = name;
+    order.run = run;
+    slot.session->stop(order, order_timeout, [](const order_result&) {});
+}
+
+void task_runner::set_pace(task& target, int percent)
+{
+    auto* const slot = find_slot(target.worker);
+    if (slot == nullptr || target.phase != task_phase::running || target.pace == percent) {
+        return;
+    }
+    log_event(log_level::info, "task.pace",
+              {{"task", target.name().to_string()},
+               {"worker", target.worker},
+               {"percent", std::to_string(percent)}});
+    const int former = target.pace;
+    target.pace = percent;
+    pace_order order;
+    order.task = target.name();
+    order.run = target.run;
+    order.percent = percent;
+    slot->session->pace(order, order_timeout,
+                        [this, former, name = target.name(), run = target.run,
+                         worker = target.worker](const order_result& result) {
+                            task* const paced = current(name, run, worker);
+                            if (paced != nullptr && result.status != order_status::accepted) {
+                                paced->pace = former; // decided anew at the next report
+                            }
+                        });
+}
+
+void task_runner::detach(task& target)
+{
+    if (auto* const slot = find_slot(target.worker)) {
+        slot->assigned.erase(&target);
+    }
+    target.worker.clear();
+}
+
+void task_runner::release(task& target, const char* reason)
+{
+    detach(target);
+    target.phase = task_phase::waiting;
+    target.percent = 0;
+    target.changed = timers_.now();
+    events_.task_released(target, reason);
+}
+
+// --- Reports -----------------------------------------------------------------------------------
+
+bool task_runner::in_use(const worker_session& session) const
+{
+    const auto found = slots_.find(session.info().id);
+    return found != slots_.end() && !found->second.assigned.empty();
+}
+
+void task_runner::on_fenced(worker_session& session)
+{
+    events_.fenced(session.info().id);
+}
+
+void task_runner::on_lost(worker_session& session, const char* reason)
+{
+    auto* const slot = find_slot(session.info().id);
+    if (slot == nullptr) {
+        return; // while the session is being made
+    }
+    slot->pending_ends.clear();
+    const auto lost = slot->assigned;
+    if (!lost.empty()) {
+        log_event(log_level::warning, "worker.tasks_lost",
+                  {{"worker", session.info().id},
+                   {"tasks", std::to_string(lost.size())},
+                   {"reason", reason}});
+    }
+    for (auto* const target : lost) {
+        release(*target, reason);
+    }
+    events_.workers_changed();
+}
+
+void task_runner::on_report(worker_session& session, const hold_report& report,
+                            net::boot_time asked)
+{
+    auto* const slot = find_slot(session.info().id);
+    if (slot == nullptr) {
+        return;
+    }
+    apply_ends(*slot, report);
+    apply_running(*slot, report);
+    find_vanished(*slot, report, asked);
+    if (!report.ended.empty() || slot->from_roster) {
+        events_.workers_changed();
+    }
+}
+
+void task_runner::apply_ends(worker_slot& slot, const hold_report& report)
+{
+    auto last = slot.session->last_reported_end();
+    for (const auto& end : report.ended) {
+        if (end.number <= last) {
+            continue; // listed again because it is not acknowledged yet
+        }
+        last = end.number;
+        const auto name = parse_task_name(end.name);
+        const auto version = apply_end(slot, end);
+        slot.pending_ends.push_back({end.number, name ? name->job : "", version});
+    }
+    slot.session->set_last_reported_end(last);
+    acknowledge_durable();
+}
+
+std::int64_t task_runner::apply_end(worker_slot& slot, const ended_task& end)
+{
+    const auto name = parse_task_name(end.name);
+    task* const target = name ? jobs_.find_task(*name) : nullptr;
+    if (target == nullptr || target->phase == task_phase::done) {
+        return 0;
+    }
+    const bool ours = target->on_worker() && target->worker == slot.info().id &&
+                      target->run == end.run;
+    const bool former = target->phase == task_phase::unresolved;
+    if (!ours && !former) {
+        return 0; // an earlier run, replaced after its lease had lapsed
+    }
+    log_event(log_level::info, "task.ended",
+              {{"task", end.name},
+               {"run", std::to_string(end.run)},
+               {"worker", slot.info().id},
+               {"how", to_string(end.kind)}});
+    if (!end.checkpoint.empty()) {
+        target->checkpoint = end.checkpoint;
+    }
+    target->run = std::max(target->run, end.run);
+    if (end.kind == end_kind::done && !target->spec().long_running) {
+        detach(*target);
+        target->phase = task_phase::done;
+        return events_.task_done(*target);
+    }
+    std::int64_t version = 0;
+    if (end.kind == end_kind::failed) {
+        note_failure(slot);
+        target->last_failed_worker = slot.info().id;
+        if (end.run > target->last_failed_run) {
+            target->last_failed_run = end.run;
+            version = events_.task_failed(*target);
+        }
+    }
+    // A task of a former leader may run elsewhere under a later number: it stays unresolved.
+    if (ours && target->on_worker()) {
+        release(*target, to_string(end.kind));
+    }
+    return version;
+}
+
+void task_runner::apply_running(worker_slot& slot, const hold_report& report)
+{
+    for (const auto& row : report.running) {
+        apply_running_row(slot, row);
+    }
+}
+
+void task_runner::apply_running_row(worker_slot& slot, const running_task& row)
+{
+    const auto name = parse_task_name(row.name);
+    if (!name) {
+        return;
+    }
+    task* const target = jobs_.find_task(*name);
+    const auto& worker = slot.info().id;
+    const bool ours = target != nullptr && target->on_worker() && target->worker == worker &&
+                      target->run == row.run;
+    const bool adoptable =
+        target != nullptr && !target->owner->cancelled() && target->run <= row.run &&
+        (target->phase == task_phase::unresolved || target->phase == task_phase::waiting);
+    if (!ours && !adoptable) {
+        stop_stray(slot, *name, row.run);
+        return;
+    }
+    const auto now = timers_.now();
+    if (!ours) {
+        target->phase = task_phase::running;
+        target->worker = worker;
+        target->run = row.run;
+        target->changed = now;
+        target->order_confirmed = now;
+        target->owner->any_started = true;
+        slot.assigned.insert(target);
+    }
+    else if (target->phase == task_phase::starting) {
+        target->phase = task_phase::running;
+        target->changed = now;
+        target->order_confirmed = now;
+    }
+    if (!row.checkpoint.empty()) {
+        target->checkpoint = row.checkpoint;
+    }
+    if (target->percent != row.percent) {
+        target->percent = row.percent;
+        target->changed = now;
+    }
+    target->load = row.load;
+    events_.task_progressed(*target);
+}
+
+// Tasks that the worker had accepted before it was asked for its lists, and lists no more.
+void task_runner::find_vanished(worker_slot& slot, const hold_report& report, net::boot_time asked)
+{
+    std::unordered_map<std::string, std::int64_t> listed;
+    for (const auto& row : report.running) {
+        listed[row.name] = row.run;
+    }
+    std::vector<task*> vanished;
+    for (auto* const target : slot.assigned) {
+        if (target->order_confirmed == never) {
+            continue;
+        }
+        const auto found = listed.find(target->name().to_string());
+        if (found != listed.end() && found->second == target->run) {
+            continue;
+        }
+        const auto settled = target->phase == task_phase::stopping
+                                 ? target->order_confirmed + settings_.stop_time
+                                 : target->order_confirmed;
+        if (settled < asked) {
+            vanished.push_back(target);
+        }
+    }
+    for (auto* const target : vanished) {
+        release(*target, "the worker no longer lists it");
+    }
+}
+
+void task_runner::note_failure(worker_slot& slot)
+{
+    const auto now = timers_.now();
+    const std::chrono::duration<double> age = now - slot.failure_score_at;
+    const double decayed =
+        age.count() > failure_half_life_s * 10
+            ? 0
+            : slot.failure_score / (1.0 + age.count() / failure_half_life_s);
+    slot.failure_score = decayed + 1;
+    slot.failure_score_at = now;
+}
+
+void task_runner::acknowledge_durable()
+{
+    for (auto& [worker, slot] : slots_) {
+        std::int64_t number = 0;
+        while (!slot.pending_ends.empty()) {
+            const auto& end = slot.pending_ends.front();
+            const job* const owner = end.version == 0 ? nullptr : jobs_.find(end.job);
+            if (owner != nullptr && owner->durable_version < end.version) {
+                break;
+            }
+            number = end.number;
+            slot.pending_ends.pop_front();
+        }
+        if (number != 0) {
+            slot.session->acknowledge(number);
+        }
+    }
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/task_runner.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "jobs/job_table.h"
+#include "jobs/worker_session.h"
+
+namespace jl::jobs {
+
+// What becomes of tasks, reported by task_runner.
+class task_events {
+public:
+    virtual ~task_events() = default;
+    // The functions return the version of the job's record that must be in the store before the
+    // worker may forget the end; 0 for none.
+    virtual std::int64_t task_done(task& ended) = 0;
+    virtual std::int64_t task_failed(task& ended) = 0;
+    // The task runs nowhere and waits again.
+    virtual void task_released(task& released, const char* reason) = 0;
+    virtual void task_progressed(task& running) = 0;
+    virtual void workers_changed() = 0;
+    virtual void fenced(const std::string& worker) = 0;
+};
+
+// A worker as the leader uses it.
+struct worker_slot {
+    std::unique_ptr<worker_session> session;
+    std::set<task*> assigned; // starting, running or stopping there
+    bool listed = true;       // registered in the store
+    bool from_roster = false; // a former leader may have started something there
+    bool rostered = false;    // named in the durable roster, so tasks may be started
+    bool retiring = false;    // to be moved or maintained: no new tasks
+    net::boot_time unhealthy_until{};
+    net::boot_time full_until{}; // it rejected a start for want of room
+    double failure_score = 0;    // recent failures, decaying
+    net::boot_time failure_score_at{};
+    net::boot_time unlisted_at{};
+
+    const listed_worker& info() const { return session->info(); }
+
+    struct pending_end {
+        std::int64_t number = 0;
+        std::string job;
+        std::int64_t version = 0;
+    };
+    std::deque<pending_end> pending_ends;
+};
+
+struct runner_settings {
+    session_settings session;
+    milliseconds stop_time{400}; // a worker ends a stopped task within this time
+    std::int64_t term = 1;       // run numbers of a later term are above those of earlier ones
+    std::int64_t token = 0;
+};
+
+// Starts and stops tasks on workers and finds out what became of them. Knows no policy.
+//
+// An order without an answer may be carried out later. A start is sent again to the same worker,
+// which accepts a run that is already there; if that stays unanswered the run is stopped, after
+// which the worker rejects it for good. Only then, or after the worker's lease has lapsed, does the
+// task wait again. Not thread-safe.
+class task_runner final : private session_listener {
+public:
+    task_runner(net::timer_service& timers, worker_connector& connector, job_table& jobs,
+                task_events& events, runner_settings settings);
+    ~task_runner() override;
+    task_runner(const task_runner&) = delete;
+    task_runner& operator=(const task_runner&) = delete;
+
+    // Adds the worker or takes over its new registration.
+    void worker_listed(const listed_worker& info, bool from_roster);
+    void worker_unlisted(const std::string& worker);
+    // Forgets workers that are not registered and run nothing. Returns true if any was.
+    bool forget_unlisted();
+
+    void start(task& target, worker_slot& slot, const std::string& ticket);
+    void stop(task& target, const char* reason);
+    void set_pace(task& target, int percent);
+    // Takes the task off its worker without an order, because it has ended in effect.
+    void detach(task& target);
+
+    // Lets workers forget the ends whose record is in the store.
+    void acknowledge_durable();
+
+    std::map<std::string, worker_slot>& slots() { return slots_; }
+    worker_slot* find_slot(const std::string& worker);
+    // True if no worker of the service may run something of a former leader that is not known.
+    bool service_resolved(const std::string& service) const;
+
+private:
+    void on_report(worker_session& session, const hold_report& report,
+                   net::boot_time asked) override;
+    void on_lost(worker_session& session, const char* reason) override;
+    void on_fenced(worker_session& session) override;
+    bool in_use(const worker_session& session) const override;
+
+    void send_start(const task_name& name, std::int64_t run, const std::string& worker);
+    void on_started(const task_name& name, std::int64_t run, const std::string& worker,
+                    const order_result& result);
+    void retry_start(task& target);
+    void send_stop(const task_name& name, std::int64_t run, const std::string& worker);
+    void stop_stray(worker_slot& slot, const task_name& name, std::int64_t run);
+    task* current(const task_name& name, std::int64_t run, const std::string& worker);
+    void release(task& target, const char* reason);
+    void apply_ends(worker_slot& slot, const hold_report& report);
+    std::int64_t apply_end(worker_slot& slot, const ended_task& end);
+    void apply_running(worker_slot& slot, const hold_report& report);
+    void apply_running_row(worker_slot& slot, const running_task& row);
+    void find_vanished(worker_slot& slot, const hold_report& report, net::boot_time asked);
+    void note_failure(worker_slot& slot);
+
+    net::timer_service& timers_;
+    worker_connector& connector_;
+    job_table& jobs_;
+    task_events& events_;
+    runner_settings settings_;
+    std::map<std::string, worker_slot> slots_; // by worker id
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/vm_manager.cpp
@@ -0,0 +1,342 @@
+#include "jobs/vm_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+#include "jobs/availability.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto busy_list_interval = 400ms;
+constexpr auto idle_list_interval = 2000ms;
+constexpr auto order_retry_interval = 500ms;
+// VMs that are emptied ahead, beyond those that may be down at once.
+constexpr int emptied_ahead = 1;
+
+} // namespace
+
+vm_manager::vm_manager(net::timer_service& timers, vm_port& vms, store_port& store,
+                       const document_codec& documents, job_table& jobs, task_runner& runner,
+                       const leader_record& leader, milliseconds order_interval,
+                       std::function<bool()> may_act)
+    : timers_(timers), vm_port_(vms), store_(store), documents_(documents), jobs_(jobs),
+      runner_(runner), leader_(leader), may_act_(std::move(may_act)),
+      orders_from_(timers.now() + (leader.term > 1 ? order_interval + 200ms : 0ms))
+{
+}
+
+vm_manager::~vm_manager()
+{
+    *alive_ = false;
+}
+
+void vm_manager::load(const store_item& item)
+{
+    const auto document = nlohmann::json::parse(item.value, nullptr, false);
+    if (!document.is_object()) {
+        log_event(log_level::error, "wave.record_unreadable", {{"key", item.key}});
+        return;
+    }
+    for (const auto& vm : document.value("finished", nlohmann::json::array())) {
+        if (vm.is_string()) {
+            finished_before_[document.value("wave", std::int64_t{0})].push_back(
+                vm.get<std::string>());
+        }
+    }
+}
+
+void vm_manager::wave_requested(const wave_request& wave)
+{
+    auto& progress = waves_[wave.wave];
+    if (!progress.vms.empty()) {
+        return;
+    }
+    progress.request = wave;
+    progress.deadline = timers_.now() + wave.duration;
+    for (const auto& vm : wave.vms) {
+        progress.vms[vm];
+    }
+    for (const auto& vm : finished_before_[wave.wave]) {
+        progress.vms[vm].phase = wave_phase::finished;
+    }
+    log_event(log_level::info, "wave.requested",
+              {{"wave", std::to_string(wave.wave)},
+               {"vms", std::to_string(wave.vms.size())},
+               {"max_concurrent", std::to_string(wave.max_concurrent)},
+               {"duration_s", std::to_string(wave.duration.count())}});
+    next_list_ = {};
+}
+
+void vm_manager::config_changed(const fleet_config& config)
+{
+    config_ = config;
+}
+
+bool vm_manager::may_order() const
+{
+    return may_act_() && timers_.now() >= orders_from_;
+}
+
+void vm_manager::step()
+{
+    refresh_list();
+    if (listed_at_ == net::boot_time{}) {
+        return;
+    }
+    for (auto& [number, wave] : waves_) {
+        step_wave(wave);
+    }
+}
+
+// --- The list of VMs ---------------------------------------------------------------------------
+
+void vm_manager::refresh_list()
+{
+    const auto now = timers_.now();
+    if (listing_ || now < next_list_) {
+        return;
+    }
+    const bool busy = std::any_of(waves_.begin(), waves_.end(),
+                                  [](const auto& entry) { return !entry.second.completed; });
+    if (!busy) {
+        return;
+    }
+    listing_ = true;
+    next_list_ = now + (busy ? busy_list_interval : idle_list_interval);
+    vm_port_.list([this, now, alive = alive_](std::optional<std::vector<fleet_vm>> listed) {
+        if (!*alive) {
+            return;
+        }
+        listing_ = false;
+        if (listed) {
+            on_list(*listed, now);
+        }
+    });
+}
+
+void vm_manager::on_list(const std::vector<fleet_vm>& listed, net::boot_time asked)
+{
+    vms_ = listed;
+    listed_at_ = asked;
+}
+
+const fleet_vm* vm_manager::find_vm(const std::string& vm) const
+{
+    const auto found =
+        std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) { return entry.vm == vm; });
+    return found == vms_.end() ? nullptr : &*found;
+}
+
+worker_slot* vm_manager::slot_of(const std::string& vm)
+{
+    const auto* const listed = find_vm(vm);
+    if (listed != nullptr && !listed->worker.empty()) {
+        if (auto* const slot = runner_.find_slot(listed->worker)) {
+            return slot;
+        }
+    }
+    for (auto& [worker, slot] : runner_.slots()) {
+        if (slot.listed && slot.info().vm == vm) {
+            return &slot;
+        }
+    }
+    return nullptr;
+}
+
+// --- Waves -------------------------------------------------------------------------------------
+
+void vm_manager::step_wave(wave_progress& wave)
+{
+    if (!wave.status_written) {
+        write_status(wave);
+    }
+    if (wave.completed) {
+        return;
+    }
+    update_wave(wave);
+    empty_next(wave);
+    order_emptied(wave);
+}
+
+void vm_manager::update_wave(wave_progress& wave)
+{
+    bool all_finished = true;
+    for (auto& [name, vm] : wave.vms) {
+        const auto* const listed = find_vm(name);
+        if (vm.phase == wave_phase::ordered && !vm.order_open && listed_at_ > vm.ordered_at &&
+            listed != nullptr && listed->state == vm_state::up) {
+            vm.phase = wave_phase::finished;
+            wave.status_written = false; // the record names it
+        }
+        if (listed == nullptr && vm.phase != wave_phase::finished) {
+            vm.phase = wave_phase::finished; // it has left the fleet
+        }
+        all_finished = all_finished && vm.phase == wave_phase::finished;
+    }
+    if (all_finished) {
+        wave.completed = true;
+        wave.status_written = false;
+        log_event(log_level::info, "wave.completed",
+                  {{"wave", std::to_string(wave.request.wave)}});
+    }
+}
+
+void vm_manager::empty_next(wave_progress& wave)
+{
+    int engaged = 0;
+    std::vector<std::pair<std::size_t, std::string>> candidates; // by number of tasks
+    for (auto& [name, vm] : wave.vms) {
+        if (vm.phase == wave_phase::emptying || vm.phase == wave_phase::ordered) {
+            ++engaged;
+        }
+        const auto* const listed = find_vm(name);
+        if (vm.phase != wave_phase::waiting || listed == nullptr ||
+            listed->state != vm_state::up) {
+            continue;
+        }
+        auto* const slot = slot_of(name);
+        candidates.emplace_back(slot == nullptr ? 0 : slot->assigned.size(), name);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    const int room = wave.request.max_concurrent + emptied_ahead - engaged;
+    for (int index = 0; index < room && index < static_cast<int>(candidates.size()); ++index) {
+        const auto& name = candidates[static_cast<std::size_t>(index)].second;
+        wave.vms[name].phase = wave_phase::emptying;
+        log_event(log_level::info, "wave.emptying",
+                  {{"wave", std::to_string(wave.request.wave)}, {"vm", name}});
+    }
+    for (auto& [name, vm] : wave.vms) {
+        if (vm.phase != wave_phase::emptying) {
+            continue;
+        }
+        if (auto* const slot = slot_of(name)) {
+            empty_worker(*slot);
+        }
+    }
+}
+
+void vm_manager::empty_worker(worker_slot& slot)
+{
+    slot.retiring = true;
+    const auto assigned = slot.assigned;
+    for (auto* const task : assigned) {
+        if (task->phase != task_phase::running || !task->spec().long_running) {
+            continue;
+        }
+        if (!at_work(*task) || may_interrupt(*task)) {
+            runner_.stop(*task, "its worker is emptied");
+        }
+    }
+}
+
+void vm_manager::order_emptied(wave_progress& wave)
+{
+    int down = 0;
+    for (const auto& [name, vm] : wave.vms) {
+        const auto* const listed = find_vm(name);
+        const bool in_maintenance =
+            listed != nullptr && listed->state == vm_state::maintenance;
+        if (vm.phase == wave_phase::ordered || in_maintenance) {
+            ++down;
+        }
+    }
+    for (auto& [name, vm] : wave.vms) {
+        if (vm.phase == wave_phase::ordered && vm.order_open &&
+            timers_.now() > vm.ordered_at + order_retry_interval) {
+            order_maintenance(wave, name);
+        }
+        if (vm.phase != wave_phase::emptying || down >= wave.request.max_concurrent) {
+            continue;
+        }
+        const auto* const slot = slot_of(name);
+        const auto* const listed = find_vm(name);
+        const bool empty = slot == nullptr || slot->assigned.empty();
+        if (empty && listed != nullptr && listed->state == vm_state::up && may_order()) {
+            ++down;
+            vm.phase = wave_phase::ordered;
+            order_maintenance(wave, name);
+        }
+    }
+}
+
+void vm_manager::order_maintenance(wave_progress& wave, const std::string& name)
+{
+    if (!may_order()) {
+        return;
+    }
+    auto& vm = wave.vms[name];
+    vm.ordered_at = timers_.now();
+    vm.order_open = true;
+    const auto number = wave.request.wave;
+    vm_port_.maintain(name, number, leader_.token,
+                      [this, number, name, alive = alive_](vm_order_status status) {
+                          if (!*alive) {
+                              return;
+                          }
+                          log_event(log_level::info, "wave.ordered",
+                                    {{"wave", std::to_string(number)},
+                                     {"vm", name},
+                                     {"outcome", to_string(status)}});
+                          auto& vm = waves_[number].vms[name];
+                          if (status == vm_order_status::accepted) {
+                              vm.order_open = false;
+                              vm.ordered_at = timers_.now();
+                          }
+                          else if (status == vm_order_status::busy ||
+                                   status == vm_order_status::throttled) {
+                              vm.phase = wave_phase::emptying;
+                              vm.order_open = false;
+                          }
+                          else if (status == vm_order_status::wrong_wave ||
+                                   status == vm_order_status::rejected) {
+                              vm.phase = wave_phase::finished;
+                              vm.order_open = false;
+                          }
+                      });
+}
+
+std::string vm_manager::encode_progress(const wave_progress& wave) const
+{
+    nlohmann::json finished = nlohmann::json::array();
+    for (const auto& [name, vm] : wave.vms) {
+        if (vm.phase == wave_phase::finished) {
+            finished.push_back(name);
+        }
+    }
+    return nlohmann::json{{"wave", wave.request.wave}, {"finished", std::move(finished)}}.dump();
+}
+
+void vm_manager::write_status(wave_progress& wave)
+{
+    if (wave.writing || !may_act_()) {
+        return;
+    }
+    wave.writing = true;
+    const auto number = wave.request.wave;
+    const bool completed = wave.completed;
+    const auto progress = encode_progress(wave);
+    store_transaction transaction;
+    transaction.conditions = {{leadership::leader_key, leader_.token}};
+    transaction.writes = {
+        {documents_.wave_status_key(number), documents_.encode_wave_status(completed), 0},
+        {record_prefix + std::to_string(number), progress, 0}};
+    store_.commit(transaction, [this, number, completed, progress,
+                                alive = alive_](const store_result<commit_outcome>& result) {
+        if (!*alive) {
+            return;
+        }
+        auto& wave = waves_[number];
+        wave.writing = false;
+        wave.status_written = result.value && result.value->committed &&
+                              wave.completed == completed && encode_progress(wave) == progress;
+    });
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/watched_prefix.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "jobs/ports.h"
+#include "net/timer_service.h"
+
+namespace jl::jobs {
+
+// Local copy of the store's items under a prefix, kept up to date by a watch and by reading the
+// whole prefix again from time to time: a watch may hear nothing, or be cut, without a sign.
+//
+//   watched_prefix workers(timers, store, "servers/", 1000ms, {on_change, on_synced});
+//
+// Not thread-safe.
+class watched_prefix {
+public:
+    struct callbacks {
+        // An item was written (revision > 0) or removed (revision 0).
+        std::function<void(const store_item&)> changed;
+        // A read of the whole prefix has been applied.
+        std::function<void()> synced;
+    };
+
+    watched_prefix(net::timer_service& timers, store_port& store, std::string prefix,
+                   milliseconds resync_period, callbacks callbacks);
+    ~watched_prefix();
+    watched_prefix(const watched_prefix&) = delete;
+    watched_prefix& operator=(const watched_prefix&) = delete;
+
+    void set_resync_period(milliseconds period) { resync_period_ = period; }
+    // When the last complete read that succeeded was sent; epoch if none.
+    net::boot_time last_sync() const { return last_sync_; }
+
+private:
+    void resync();
+    void apply_listing(const store_listing& listing);
+    void watch();
+    void apply(const store_item& item);
+
+    net::timer_service& timers_;
+    store_port& store_;
+    std::string prefix_;
+    milliseconds resync_period_;
+    callbacks callbacks_;
+    std::map<std::string, std::int64_t> revisions_; // by key
+    std::int64_t at_ = 0;
+    net::boot_time last_sync_{};
+    bool watching_ = false;
+    net::timer_service::timer_id resync_timer_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/worker_session.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "jobs/ports.h"
+#include "net/timer_service.h"
+
+namespace jl::jobs {
+
+struct session_settings {
+    milliseconds lease{6000}; // asked for with each order; the worker's limit or less
+    // Longest time that a former leader may still believe to lead, with its last lease to a worker.
+    milliseconds former_lease{0};
+};
+
+class worker_session;
+
+// What the owner of the sessions learns from them.
+class session_listener {
+public:
+    virtual ~session_listener() = default;
+    // The worker's lists. `asked` is when the request for them was sent.
+    virtual void on_report(worker_session& session, const hold_report& report,
+                           net::boot_time asked) = 0;
+    // Nothing that was started before this runs there any more.
+    virtual void on_lost(worker_session& session, const char* reason) = 0;
+    virtual void on_fenced(worker_session& session) = 0;
+    // True while something is believed to run there.
+    virtual bool in_use(const worker_session& session) const = 0;
+};
+
+// The leader's contact with one worker: renews the lease of what runs there, collects its lists,
+// and knows until when something may run there although the worker does not answer.
+//
+// Lease times are on the worker's clock, which may run 2% slow. All bounds here are on the boot
+// clock of this process and err on the long side. Not thread-safe.
+class worker_session {
+public:
+    worker_session(net::timer_service& timers, session_listener& listener,
+                   std::unique_ptr<worker_port> port, listed_worker info, std::int64_t token,
+                   session_settings settings);
+    ~worker_session();
+    worker_session(const worker_session&) = delete;
+    worker_session& operator=(const worker_session&) = delete;
+
+    const listed_worker& info() const { return info_; }
+    // Takes over what the worker registered. Returns false if it is another life under the same id
+    // with another address, for which a new session is needed.
+    void update(const listed_worker& info);
+
+    // Asks for the lists now; sent as soon as the last request for them has been answered.
+    void look();
+
+    void start(start_order order, milliseconds timeout,
+               std::function<void(const order_result&)> done);
+    void stop(stop_order order, milliseconds timeout,
+              std::function<void(const order_result&)> done);
+    void pace(pace_order order, milliseconds timeout,
+              std::function<void(const order_result&)> done);
+
+    // True once the worker has answered this leader, and so refuses orders of former ones.
+    bool contacted() const { return contacted_; }
+    bool reachable() const { return failures_ == 0; }
+    // True if nothing of a former leader can run there any more, or all of it is known.
+    bool resolved() const;
+    // No later than this the lease of everything on the worker has ended.
+    net::boot_time lease_bound() const { return lease_bound_; }
+
+    // Ends up to `number` need not be listed again. Called in order.
+    void acknowledge(std::int64_t number);
+    std::int64_t acknowledged() const { return acknowledged_; }
+    // Number of the last end that was handed to the listener.
+    std::int64_t last_reported_end() const { return last_reported_end_; }
+    void set_last_reported_end(std::int64_t number) { last_reported_end_ = number; }
+
+    std::int64_t token() const { return token_; }
+    bool dead() const { return dead_; }
+
+private:
+    void hold();
+    void on_hold(const hold_report& report, net::boot_time asked);
+    void schedule_hold(std::chrono::nanoseconds delay);
+    void note_result(const order_result& result, net::boot_time asked);
+    void note_failure(const char* reason);
+    void check_lapse();
+    std::optional<milliseconds> next_lease();
+    void lose(const char* reason);
+
+    net::timer_service& timers_;
+    session_listener& listener_;
+    std::unique_ptr<worker_port> port_;
+    listed_worker info_;
+    std::int64_t token_;
+    session_settings settings_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+    std::int64_t born_ = 0;
+    std::optional<milliseconds> clock_; // of the worker, when `clock_read_` was
+    net::boot_time clock_read_{};
+    net::boot_time lease_bound_;
+    bool lapse_reported_ = false;
+    bool contacted_ = false;
+    bool dead_ = false;
+    int failures_ = 0; // of holds in a row
+    std::int64_t acknowledged_ = 0;
+    std::int64_t last_reported_end_ = 0;
+    bool holding_ = false;
+    bool look_wanted_ = false;
+    net::boot_time last_hold_{};
+    net::timer_service::timer_id hold_timer_ = 0;
+    net::timer_service::timer_id lapse_timer_ = 0;
+};
+
+} // namespace jl::jobs
