Copy the connections before dropping one whose exchange has timed out

Cause: async_client::expire passed a reference into the list of connections to drop(), which removes that element, and then read through it. The test crashes without the change.

--- a/src/net/async_client.cpp
+++ b/src/net/async_client.cpp
@@ -293,7 +293,9 @@
 
     void expire(const call_ptr& call)
     {
-        for (const auto& open : connections_) {
+        // Copies: dropping a connection takes it out of the list.
+        const auto connections = connections_;
+        for (const auto& open : connections) {
             if (open->call == call) {
                 // What silenced this connection may have silenced the idle ones too.
                 close_idle();
--- /dev/null
+++ b/src/net/async_http_test.cpp
@@ -0,0 +1,157 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "net/async_client.h"
+#include "net/async_server.h"
+#include "net/event_loop.h"
+#include "net/http_framing.h"
+
+namespace jl::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A server on a free port with a handler of the test, and a client for it.
+class async_http : public ::testing::Test {
+protected:
+    void serve(async_handler handler)
+    {
+        server_ = std::make_unique<async_server>(loop_, endpoint{"127.0.0.1", 0},
+                                                 async_server_limits{}, std::move(handler));
+        client_ = std::make_unique<async_client>(loop_, endpoint{"127.0.0.1", server_->port()},
+                                                 async_client_limits{});
+    }
+
+    // Runs the loop until `count` exchanges have been reported.
+    void run_until(std::size_t count)
+    {
+        expected_ = count;
+        loop_.call_after(10s, [this] { loop_.stop(); });
+        loop_.run();
+    }
+
+    void send(const std::string& target, std::chrono::milliseconds timeout = 5s)
+    {
+        http::request request;
+        request.target = target;
+        client_->exchange(request, timeout, [this](const exchange_result& result) {
+            results_.push_back(result);
+            if (results_.size() == expected_) {
+                loop_.stop();
+            }
+        });
+    }
+
+    event_loop loop_;
+    std::unique_ptr<async_server> server_;
+    std::unique_ptr<async_client> client_;
+    std::vector<exchange_result> results_;
+    std::size_t expected_ = 0;
+};
+
+TEST_F(async_http, answers_each_exchange_on_few_connections)
+{
+    int requests = 0;
+    serve([&](http::request request, responder respond) {
+        ++requests;
+        respond(http::json_response(200, request.target));
+    });
+    for (int index = 0; index < 20; ++index) {
+        send("/" + std::to_string(index));
+    }
+    run_until(20);
+    ASSERT_EQ(results_.size(), 20U);
+    EXPECT_EQ(requests, 20);
+    for (const auto& result : results_) {
+        ASSERT_TRUE(result.answer);
+        EXPECT_EQ(result.answer->status, 200);
+    }
+}
+
+// A timed-out exchange closed its connection through a reference into the list of connections that
+// the closing itself removed: the process crashed when the store was slow for the first time.
+TEST_F(async_http, timed_out_exchange_closes_its_connection_and_reports_once)
+{
+    std::vector<responder> held;
+    serve([&](const http::request&, responder respond) { held.push_back(std::move(respond)); });
+    send("/a", 30ms);
+    send("/b", 40ms);
+    send("/c", 50ms);
+    run_until(3);
+    ASSERT_EQ(results_.size(), 3U);
+    for (const auto& result : results_) {
+        EXPECT_FALSE(result.answer);
+        EXPECT_EQ(result.error.code, http::client_error_code::timed_out);
+        EXPECT_FALSE(result.error.not_sent());
+    }
+}
+
+TEST_F(async_http, refused_connection_is_reported_as_not_sent)
+{
+    serve([](const http::request&, const responder&) {});
+    client_ = std::make_unique<async_client>(loop_, endpoint{"127.0.0.1", 1}, async_client_limits{});
+    send("/");
+    run_until(1);
+    ASSERT_EQ(results_.size(), 1U);
+    EXPECT_TRUE(results_[0].error.not_sent());
+}
+
+// The owner of a client may destroy it while an answer is being reported.
+TEST_F(async_http, client_may_be_destroyed_in_a_callback)
+{
+    serve([](const http::request&, const responder& respond) {
+        respond(http::json_response(200, "{}"));
+    });
+    bool reported = false;
+    client_->exchange({}, 5s, [&](const exchange_result&) {
+        client_.reset();
+        reported = true;
+        loop_.stop();
+    });
+    run_until(0);
+    EXPECT_TRUE(reported);
+}
+
+TEST_F(async_http, late_answer_after_the_client_has_gone_is_dropped)
+{
+    responder held;
+    serve([&](const http::request&, responder respond) { held = std::move(respond); });
+    send("/", 30ms);
+    run_until(1);
+    held(http::json_response(200, "{}"));
+    EXPECT_EQ(server_->open_requests(), 0U);
+}
+
+TEST(http_framing, takes_whole_messages_only)
+{
+    message_buffer buffer(1024, 1024);
+    const std::string bytes = "POST /x HTTP/1.1\r\nContent-Length: 3\r\nHost: a\r\n\r\nabc";
+    buffer.append(bytes.data(), bytes.size() - 1);
+    EXPECT_FALSE(buffer.take_request());
+    buffer.append(bytes.data() + bytes.size() - 1, 1);
+    const auto request = buffer.take_request();
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->method, "POST");
+    EXPECT_EQ(request->body, "abc");
+    EXPECT_TRUE(buffer.empty());
+}
+
+TEST(http_framing, rejects_what_cannot_be_framed)
+{
+    const auto error_of = [](const std::string& bytes) {
+        message_buffer buffer(64, 8);
+        buffer.append(bytes.data(), bytes.size());
+        EXPECT_FALSE(buffer.take_request());
+        return buffer.error();
+    };
+    EXPECT_EQ(error_of("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n"), framing_error::too_large);
+    EXPECT_EQ(error_of(std::string(100, 'x')), framing_error::too_large);
+    EXPECT_EQ(error_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+              framing_error::length_required);
+}
+
+} // namespace
+} // namespace jl::net
