Count failed runs as a set and check the attempts again at each pass

Cause: a task's failures were counted by the highest run seen, so the end of run 2002 was not counted when that of 2003, from another worker, came first after a change of leaders; and an end that came before the configuration was read did not fail the job.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -492,25 +492,45 @@
     }
 }
 
-std::int64_t engine::task_failed(task& ended)
+std::int64_t engine::task_failed(task& ended, std::int64_t run)
 {
     auto& target = *ended.owner;
     if (ended.spec().long_running) {
-        return 0;
+        return 0; // restarted without limit
     }
-    ++ended.failures;
-    const auto* const queue = config_ ? config_->find_queue(target.spec.queue) : nullptr;
-    const auto version = record_change(target);
-    if (queue != nullptr && ended.failures >= queue->max_attempts && target.active()) {
-        log_event(log_level::info, "job.failed",
-                  {{"job", target.spec.id},
-                   {"task", ended.name().to_string()},
-                   {"failures", std::to_string(ended.failures)}});
-        finish(target, job_state::failed);
+    if (!ended.failed_runs.insert(run).second) {
+        return target.version; // counted before a change of leaders
     }
+    const auto version = record_change(target);
+    fail_exhausted(target);
     return version;
 }
 
+// Fails the job if a task has used all its attempts.
+void engine::fail_exhausted(job& target)
+{
+    const auto* const queue = config_ ? config_->find_queue(target.spec.queue) : nullptr;
+    if (queue == nullptr || !target.active()) {
+        return;
+    }
+    for (const auto& occurrence : target.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            for (const auto& task : step.tasks) {
+                if (task.phase == task_phase::done ||
+                    static_cast<int>(task.failed_runs.size()) < queue->max_attempts) {
+                    continue;
+                }
+                log_event(log_level::info, "job.failed",
+                          {{"job", target.spec.id},
+                           {"task", task.name().to_string()},
+                           {"failures", std::to_string(task.failed_runs.size())}});
+                finish(target, job_state::failed);
+                return;
+            }
+        }
+    }
+}
+
 void engine::task_released(task& released, const char* reason)
 {
     (void)reason;
@@ -595,6 +615,9 @@
     }
     begin_due_occurrences();
     resolve_tasks();
+    for (auto* const target : jobs_.active()) {
+        fail_exhausted(*target);
+    }
     scheduler_->pass(*config_);
 }
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -72,7 +72,7 @@
 
 private:
     std::int64_t task_done(task& ended) override;
-    std::int64_t task_failed(task& ended) override;
+    std::int64_t task_failed(task& ended, std::int64_t run) override;
     void task_released(task& released, const char* reason) override;
     void task_progressed(task& running) override;
     void workers_changed() override;
@@ -94,6 +94,7 @@
     std::int64_t record_change(job& target);
     void settle_occurrence(job& target);
     void finish(job& target, job_state state);
+    void fail_exhausted(job& target);
     void stop_tasks(job& target, const char* reason);
     void release_gang(task& member);
     void extend_services(job& target, const std::string& service);
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -1,7 +1,7 @@
 #include "jobs/job_record.h"
 
-#include <algorithm>
 #include <cstdint>
+#include <set>
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -13,7 +13,7 @@
 using nlohmann::json;
 
 constexpr char done_mark = 'd';
-constexpr int max_recorded_failures = 9;
+constexpr char unfinished_mark = '.';
 
 json encode_step(const step_spec& step)
 {
@@ -51,14 +51,12 @@
     return step;
 }
 
-// One character for each task: done, or the number of its failures.
+// One character for each task.
 std::string encode_marks(const step_progress& step)
 {
     std::string marks;
     for (const auto& task : step.tasks) {
-        marks += task.phase == task_phase::done
-                     ? done_mark
-                     : static_cast<char>('0' + std::min(task.failures, max_recorded_failures));
+        marks += task.phase == task_phase::done ? done_mark : unfinished_mark;
     }
     return marks;
 }
@@ -71,9 +69,9 @@
         marks.push_back(encode_marks(step));
         for (const auto& task : step.tasks) {
             if (task.phase != task_phase::done &&
-                (!task.checkpoint.empty() || task.last_failed_run != 0)) {
+                (!task.checkpoint.empty() || !task.failed_runs.empty())) {
                 details.push_back(
-                    json::array({task.step, task.index, task.checkpoint, task.last_failed_run}));
+                    json::array({task.step, task.index, task.checkpoint, task.failed_runs}));
             }
         }
     }
@@ -89,7 +87,6 @@
             ++step.done;
             continue;
         }
-        target.failures = marks[index] - '0';
         target.phase = task_phase::unresolved;
     }
 }
@@ -106,7 +103,7 @@
         auto& step = occurrence.steps.at(detail.at(0).get<std::size_t>());
         auto& restored = step.tasks.at(detail.at(1).get<std::size_t>());
         restored.checkpoint = detail.at(2).get<std::string>();
-        restored.last_failed_run = detail.at(3).get<std::int64_t>();
+        restored.failed_runs = detail.at(3).get<std::set<std::int64_t>>();
     }
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -36,8 +36,8 @@
 
     task_phase phase = task_phase::waiting;
     std::int64_t run = 0; // number of the last start
-    int failures = 0;
-    std::int64_t last_failed_run = 0; // highest run that `failures` counts
+    // Runs that ended as failed. Their ends may become known in any order, and more than once.
+    std::set<std::int64_t> failed_runs;
     std::string checkpoint;
     std::string worker;             // while starting, running or stopping
     std::string last_failed_worker; // avoided for the next run
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -447,10 +447,7 @@
     if (end.kind == end_kind::failed) {
         note_failure(slot);
         target->last_failed_worker = slot.info().id;
-        if (end.run > target->last_failed_run) {
-            target->last_failed_run = end.run;
-            version = events_.task_failed(*target);
-        }
+        version = events_.task_failed(*target, end.run);
     }
     // A task of a former leader may run elsewhere under a later number: it stays unresolved.
     if (ours && target->on_worker()) {
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -20,7 +20,7 @@
     // The functions return the version of the job's record that must be in the store before the
     // worker may forget the end; 0 for none.
     virtual std::int64_t task_done(task& ended) = 0;
-    virtual std::int64_t task_failed(task& ended) = 0;
+    virtual std::int64_t task_failed(task& ended, std::int64_t run) = 0;
     // The task runs nowhere and waits again.
     virtual void task_released(task& released, const char* reason) = 0;
     virtual void task_progressed(task& running) = 0;
