Keep a worker free for a long-running task that none has room for

Ruled out: the step's limit for each worker, and the fencing after the change of leaders (the task was waiting, not unresolved). The test fails without the reservation.

--- a/src/decisions/task_placement.cpp
+++ b/src/decisions/task_placement.cpp
@@ -10,17 +10,38 @@
 // Recent failures from which a worker is avoided while another has room.
 constexpr double avoided_failure_score = 1.5;
 
-bool fits(const task_demand& task, const worker_room& worker)
+bool allowed(const task_demand& task, const worker_room& worker)
 {
-    const auto millicores = task.filler ? 0 : task.millicores;
-    return millicores <= worker.free_millicores && task.memory_mb <= worker.free_memory_mb &&
-           task.accelerators <= worker.free_accelerators &&
-           (task.max_per_worker == 0 || worker.tasks_of_step < task.max_per_worker) &&
+    return (task.max_per_worker == 0 || worker.tasks_of_step < task.max_per_worker) &&
            (task.required_label.empty() ||
             std::find(worker.labels.begin(), worker.labels.end(), task.required_label) !=
                 worker.labels.end());
 }
 
+std::int64_t needed_millicores(const task_demand& task)
+{
+    return task.filler ? 0 : task.millicores;
+}
+
+bool fits(const task_demand& task, const worker_room& worker)
+{
+    return needed_millicores(task) <= worker.free_millicores &&
+           task.memory_mb <= worker.free_memory_mb &&
+           task.accelerators <= worker.free_accelerators && allowed(task, worker);
+}
+
+// Part of what the task needs that the worker has free, by the scarcer resource.
+double free_part(const task_demand& task, const worker_room& worker)
+{
+    const auto part = [](std::int64_t free, std::int64_t needed) {
+        return needed <= 0 ? 1.0
+                           : std::clamp(static_cast<double>(free) / static_cast<double>(needed),
+                                        0.0, 1.0);
+    };
+    return std::min(part(worker.free_millicores, needed_millicores(task)),
+                    part(worker.free_memory_mb, task.memory_mb));
+}
+
 } // namespace
 
 std::optional<std::size_t> choose_worker(const task_demand& task,
@@ -50,4 +71,21 @@
     return best;
 }
 
+std::optional<std::size_t> choose_reservation(const task_demand& task,
+                                              const std::vector<worker_room>& workers)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        const auto& worker = workers[index];
+        if (!allowed(task, worker) || needed_millicores(task) > worker.total_millicores ||
+            task.memory_mb > worker.total_memory_mb) {
+            continue;
+        }
+        if (!best || free_part(task, worker) > free_part(task, workers[*best])) {
+            best = index;
+        }
+    }
+    return best;
+}
+
 } // namespace jl::decisions
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -299,5 +299,30 @@
     EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 6s));
 }
 
+// Small tasks that end one by one left no room for a large long-running task, which did not run for
+// 15 s (frr-hq, hunt-f093-27).
+TEST(engine, long_running_task_gets_room_among_small_ones)
+{
+    test_fleet fleet(1);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    for (int number = 0; number < 150; ++number) {
+        auto small = make_job("0000000000000" + std::to_string(100 + number), 1, 1);
+        small.steps[0].request = {4000, 8192, 0};
+        // Ends spread over time, so that room comes in small pieces.
+        fleet.workers.plans[small.id] = {milliseconds(700 + 53 * (number % 17)), 0};
+        fleet.leader()->submit(std::move(small), [](submit_outcome) {});
+    }
+    fleet.timers.run_for(1s);
+    auto lasting = make_job(job_id, 1, 1);
+    lasting.steps[0].request = {8000, 40000, 0};
+    lasting.steps[0].long_running = true;
+    fleet.workers.plans[job_id] = {100s, 0};
+    ASSERT_EQ(fleet.submit(lasting), submit_outcome::accepted);
+    fleet.timers.run_for(2s);
+    EXPECT_TRUE(fleet.workers.runs(job_id + ".0.0.0"));
+    expect_no_violation(fleet);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -53,6 +53,7 @@
     room.free_memory_mb = info.capacity.memory_mb;
     room.free_accelerators = info.capacity.accelerators;
     room.total_millicores = info.capacity.millicores;
+    room.total_memory_mb = info.capacity.memory_mb;
     const std::chrono::duration<double> age = now - slot.failure_score_at;
     room.failure_score = slot.failure_score / (1.0 + age.count());
     for (const auto* assigned : slot.assigned) {
@@ -301,6 +302,9 @@
     if (!queue.needs_advice || advice_ == nullptr) {
         const auto worker = decisions::choose_worker(demand, pool.rooms);
         if (!worker) {
+            if (demand.long_running) {
+                reserve(demand, pool);
+            }
             return false;
         }
         launch(target, *worker, "", pool);
@@ -323,6 +327,15 @@
     return true;
 }
 
+// Keeps the tasks that come later in this pass off one worker.
+void job_scheduler::reserve(const decisions::task_demand& demand, pool_pass& pool)
+{
+    if (const auto worker = decisions::choose_reservation(demand, pool.rooms)) {
+        pool.rooms[*worker].free_millicores = 0;
+        pool.rooms[*worker].free_memory_mb = 0;
+    }
+}
+
 void job_scheduler::launch(task& target, std::size_t worker, const std::string& ticket,
                            pool_pass& pool)
 {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -32,6 +32,7 @@
     bool start_gang(std::vector<task*>& members, const step_progress& step, pool_pass& pool);
     bool start_one(task& target, const step_progress& step, const queue_config& queue,
                    pool_pass& pool);
+    void reserve(const decisions::task_demand& demand, pool_pass& pool);
     void launch(task& target, std::size_t worker, const std::string& ticket, pool_pass& pool);
 
     net::timer_service& timers_;
