--- a/src/decisions/task_placement.cpp
+++ b/src/decisions/task_placement.cpp
@@ -9,6 +9,8 @@
 
 // Recent failures from which a worker is avoided while another has room.
 constexpr double avoided_failure_score = 1.5;
+// Long-running tasks of one step that may share a worker while others have room.
+constexpr int uncrowded_tasks_of_step = 1;
 
 bool allowed(const task_demand& task, const worker_room& worker)
 {
@@ -55,8 +57,10 @@
         const int disturbance = task.filler    ? worker.serving_tasks
                                 : task.serving ? worker.filler_tasks
                                                : 0;
-        // Long-running tasks are spread, so that the loss of a worker takes few of a step.
-        const int crowding = task.long_running ? worker.tasks_of_step : 0;
+        // The loss of a worker should take few long-running tasks of a step; but each worker that
+        // runs some has to stay.
+        const int crowding =
+            task.long_running ? std::max(0, worker.tasks_of_step - uncrowded_tasks_of_step) : 0;
         return std::make_tuple(failing, remote, disturbance, crowding, worker.free_millicores);
     };
     std::optional<std::size_t> best;
--- /dev/null
+++ b/src/jobs/capacity_manager.cpp
@@ -0,0 +1,357 @@
+#include "jobs/capacity_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "jobs/job_scheduler.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A VM is powered off once its pool has had one too many for this long: a move there and back costs
+// as much as a VM that idles for about two seconds.
+constexpr auto surplus_delay = 1200ms;
+// From a VM's arrival in a pool to the first start on it.
+constexpr auto arrival_delay = 200ms;
+constexpr auto order_retry_interval = 500ms;
+constexpr auto refusal_pause = 5000ms;
+// A moved VM that is not listed in its new pool after this long is looked at anew.
+constexpr auto arrival_limit = 6000ms;
+
+// The part of a VM that a task fills, by the resource that is scarcest for it.
+double share_of_vm(const task_resources& request, const task_resources& capacity)
+{
+    const auto part = [](std::int64_t needed, std::int64_t available) {
+        return available <= 0 ? 0.0 : static_cast<double>(needed) / static_cast<double>(available);
+    };
+    return std::max({part(request.millicores, capacity.millicores),
+                     part(request.memory_mb, capacity.memory_mb),
+                     part(request.accelerators, capacity.accelerators)});
+}
+
+bool runs_long_running_task(const worker_slot& slot)
+{
+    return std::any_of(slot.assigned.begin(), slot.assigned.end(),
+                       [](const task* assigned) { return assigned->spec().long_running; });
+}
+
+} // namespace
+
+capacity_manager::capacity_manager(net::timer_service& timers, vm_port& vms,
+                                   vm_directory& directory, const wave_manager& waves,
+                                   job_table& jobs, task_runner& runner, std::int64_t token,
+                                   milliseconds move_time, std::function<bool()> may_order)
+    : timers_(timers), vm_port_(vms), directory_(directory), waves_(waves), jobs_(jobs),
+      runner_(runner), token_(token), move_time_(move_time), may_order_(std::move(may_order))
+{
+}
+
+capacity_manager::~capacity_manager()
+{
+    *alive_ = false;
+}
+
+void capacity_manager::note_arrival(const std::string& service, const job& accepted)
+{
+    if (!accepted.spec.steps.front().long_running && !accepted.spec.timed()) {
+        double vm_seconds = 0;
+        for (const auto& step : accepted.spec.steps) {
+            vm_seconds += step.count * share_of_vm(step.request, vm_capacity_) *
+                          std::chrono::duration<double>(step.estimate).count();
+        }
+        demand_.note_arrival(service, timers_.now().time_since_epoch(), vm_seconds);
+    }
+}
+
+void capacity_manager::step(const fleet_config& config)
+{
+    if (!directory_.known()) {
+        return;
+    }
+    const bool has_standby =
+        std::any_of(config.services.begin(), config.services.end(),
+                    [](const service_config& service) { return service.standby; });
+    if (!has_standby && config.services.size() < 2) {
+        return;
+    }
+    settle_moves();
+    for (const auto& vm : directory_.vms()) {
+        vm_capacity_.millicores = std::max(vm_capacity_.millicores, vm.capacity.millicores);
+        vm_capacity_.memory_mb = std::max(vm_capacity_.memory_mb, vm.capacity.memory_mb);
+        vm_capacity_.accelerators = std::max(vm_capacity_.accelerators, vm.capacity.accelerators);
+    }
+    auto pools = pool_states(config);
+    measure_demand(config, pools);
+    plan(pools, decisions::size_pools(pools, {}));
+    order_emptied();
+}
+
+// Forgets moves that have ended.
+void capacity_manager::settle_moves()
+{
+    const auto now = timers_.now();
+    for (auto next = moves_.begin(); next != moves_.end();) {
+        const auto& move = next->second;
+        const auto* const vm = directory_.find(next->first);
+        const bool ordered = move.ordered_at != net::boot_time{};
+        const bool seen_since = directory_.listed_at() > move.ordered_at;
+        const bool arrived = ordered && !move.open && seen_since && vm != nullptr &&
+                             vm->pool == move.to && vm->state == vm_state::up;
+        const bool lost = ordered && now > move.ordered_at + arrival_limit;
+        next = vm == nullptr || arrived || lost ? moves_.erase(next) : std::next(next);
+    }
+}
+
+std::map<std::string, capacity_manager::pool_members> capacity_manager::members() const
+{
+    std::map<std::string, pool_members> pools;
+    for (const auto& vm : directory_.vms()) {
+        if (vm.state == vm_state::down) {
+            continue;
+        }
+        const auto moving = moves_.find(vm.vm);
+        if (moving != moves_.end()) {
+            ++pools[moving->second.to].arriving;
+        }
+        else {
+            pools[vm.pool].vms.push_back(&vm);
+        }
+    }
+    return pools;
+}
+
+std::vector<decisions::pool_state> capacity_manager::pool_states(const fleet_config& config)
+{
+    const auto now = timers_.now().time_since_epoch();
+    auto by_pool = members();
+    std::vector<decisions::pool_state> pools;
+    for (const auto& service : config.services) {
+        decisions::pool_state state;
+        state.pool = service.name;
+        state.standby = service.standby;
+        const auto& present = by_pool[service.name];
+        state.vms = static_cast<int>(present.vms.size()) + present.arriving;
+        for (const auto* const vm : present.vms) {
+            const auto* const slot = directory_.slot_of(vm->vm);
+            state.pinned_vms += slot != nullptr && runs_long_running_task(*slot) ? 1 : 0;
+        }
+        state.expected_load = demand_.forecast(service.name, now, move_time_ + arrival_delay);
+        pools.push_back(std::move(state));
+    }
+    return pools;
+}
+
+// Adds the load of running and waiting tasks.
+void capacity_manager::measure_demand(const fleet_config& config,
+                                      std::vector<decisions::pool_state>& pools)
+{
+    const auto now = timers_.now();
+    std::map<std::string, decisions::pool_state*> by_name;
+    for (auto& pool : pools) {
+        by_name[pool.pool] = &pool;
+    }
+    for (const auto* const target : jobs_.active()) {
+        const auto* const queue = config.find_queue(target->spec.queue);
+        const auto pool = queue == nullptr ? by_name.end() : by_name.find(queue->service);
+        if (pool == by_name.end() || !target->active()) {
+            continue;
+        }
+        const bool lasting = target->spec.steps.front().long_running;
+        if (!lasting && remaining_chain(*target) > target->objective - now) {
+            continue; // too late: it takes what others leave
+        }
+        for (const auto& occurrence : target->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& progress = occurrence.steps[step];
+                const auto& spec = target->spec.steps[step];
+                if (spec.filler || progress.complete() || !target->step_ready(occurrence, step)) {
+                    continue;
+                }
+                const double load = (static_cast<double>(progress.tasks.size()) - progress.done) *
+                                    share_of_vm(spec.request, vm_capacity_);
+                if (spec.max_per_worker > 0) {
+                    const int workers =
+                        (spec.count + spec.max_per_worker - 1) / spec.max_per_worker;
+                    pool->second->spread_vms = std::max(pool->second->spread_vms, workers);
+                }
+                pool->second->wanted_load += load;
+                pool->second->pinned_load += spec.long_running ? load : 0;
+            }
+        }
+    }
+}
+
+bool capacity_manager::movable(const fleet_vm& vm)
+{
+    if (vm.state != vm_state::up || moves_.count(vm.vm) != 0 || waves_.engaged(vm.vm)) {
+        return false;
+    }
+    const auto refused = refused_until_.find(vm.vm);
+    if (refused != refused_until_.end() && timers_.now() < refused->second) {
+        return false;
+    }
+    const auto* const slot = directory_.slot_of(vm.vm);
+    return slot == nullptr ||
+           (!runs_long_running_task(*slot) && !slot->info().draining && !slot->retiring);
+}
+
+// VMs of the pool that can leave it, those that are empty first.
+std::vector<std::string> capacity_manager::candidates(const std::string& pool)
+{
+    std::vector<std::pair<std::size_t, std::string>> found;
+    for (const auto& vm : directory_.vms()) {
+        if (vm.pool == pool && movable(vm)) {
+            const auto* const slot = directory_.slot_of(vm.vm);
+            found.emplace_back(slot == nullptr ? 0 : slot->assigned.size(), vm.vm);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    std::vector<std::string> names;
+    for (auto& entry : found) {
+        names.push_back(std::move(entry.second));
+    }
+    return names;
+}
+
+// Gives VMs that are being emptied back to their pool, which needs them again.
+void capacity_manager::call_off(const std::string& pool, int count)
+{
+    for (auto next = moves_.begin(); next != moves_.end() && count > 0;) {
+        const bool emptying = next->second.ordered_at == net::boot_time{};
+        if (!emptying || next->second.from != pool) {
+            ++next;
+            continue;
+        }
+        if (auto* const slot = directory_.slot_of(next->first)) {
+            slot->retiring = false;
+        }
+        next = moves_.erase(next);
+        --count;
+    }
+}
+
+void capacity_manager::plan(const std::vector<decisions::pool_state>& pools,
+                            const std::vector<int>& sizes)
+{
+    std::map<std::string, int> missing;
+    std::vector<pool_surplus> surplus;
+    std::string standby;
+    for (std::size_t index = 0; index < pools.size(); ++index) {
+        const auto& pool = pools[index];
+        const int difference = pool.vms - sizes[index];
+        const int lasting_surplus = pool.vms - largest_recent_size(pool.pool, sizes[index]);
+        if (pool.standby) {
+            standby = pool.pool;
+            surplus.insert(surplus.begin(), {pool.pool, pool.vms, 0});
+            continue;
+        }
+        if (difference < 0) {
+            missing[pool.pool] = -difference;
+            call_off(pool.pool, -difference);
+        }
+        if (difference > 0) {
+            surplus.push_back({pool.pool, difference, lasting_surplus});
+        }
+    }
+    for (auto& source : surplus) {
+        const auto free = candidates(source.pool);
+        std::size_t taken = 0;
+        while (source.count > 0 && taken < free.size()) {
+            const auto target = std::find_if(missing.begin(), missing.end(),
+                                             [](const auto& entry) { return entry.second > 0; });
+            std::string to;
+            if (target != missing.end()) {
+                to = target->first;
+                --target->second;
+            }
+            else if (source.lasting > 0 && !standby.empty()) {
+                to = standby;
+            }
+            else {
+                break;
+            }
+            begin_move(free[taken++], source.pool, to);
+            --source.count;
+            --source.lasting;
+        }
+    }
+}
+
+void capacity_manager::begin_move(const std::string& vm, const std::string& from,
+                                  const std::string& to)
+{
+    moves_[vm] = {from, to, {}, false};
+    if (auto* const slot = directory_.slot_of(vm)) {
+        slot->retiring = true;
+    }
+}
+
+// The largest size that the pool was to have in the last moments.
+int capacity_manager::largest_recent_size(const std::string& pool, int size)
+{
+    const auto now = timers_.now();
+    auto& recent = recent_sizes_[pool];
+    recent.push_back({now, size});
+    while (recent.front().first < now - surplus_delay) {
+        recent.pop_front();
+    }
+    int largest = 0;
+    for (const auto& entry : recent) {
+        largest = std::max(largest, entry.second);
+    }
+    return largest;
+}
+
+void capacity_manager::order_emptied()
+{
+    for (auto& [vm, move] : moves_) {
+        const bool ordered = move.ordered_at != net::boot_time{};
+        if (ordered && !(move.open && timers_.now() > move.ordered_at + order_retry_interval)) {
+            continue;
+        }
+        const auto* const slot = directory_.slot_of(vm);
+        if ((slot == nullptr || slot->assigned.empty()) && may_order_()) {
+            order(vm, move);
+        }
+    }
+}
+
+void capacity_manager::order(const std::string& vm, vm_move& move)
+{
+    move.ordered_at = timers_.now();
+    move.open = true;
+    vm_port_.move(vm, move.to, token_, [this, vm, alive = alive_](vm_order_status status) {
+        if (!*alive) {
+            return;
+        }
+        const auto found = moves_.find(vm);
+        if (found == moves_.end()) {
+            return;
+        }
+        log_event(log_level::info, "vm.move",
+                  {{"vm", vm},
+                   {"from", found->second.from},
+                   {"to", found->second.to},
+                   {"outcome", to_string(status)}});
+        if (status == vm_order_status::accepted) {
+            found->second.open = false;
+            found->second.ordered_at = timers_.now();
+            return;
+        }
+        if (status == vm_order_status::unanswered) {
+            return; // sent again: moving to the pool where it is changes nothing
+        }
+        refused_until_[vm] =
+            timers_.now() + (status == vm_order_status::rejected ? refusal_pause : 500ms);
+        if (auto* const slot = directory_.slot_of(vm)) {
+            slot->retiring = false;
+        }
+        moves_.erase(found);
+    });
+}
+
+} // namespace jl::jobs
--- /dev/null
+++ b/src/jobs/capacity_manager.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decisions/demand_forecast.h"
+#include "decisions/pool_sizing.h"
+#include "jobs/job_table.h"
+#include "jobs/ports.h"
+#include "jobs/task_runner.h"
+#include "jobs/vm_directory.h"
+#include "jobs/wave_manager.h"
+#include "net/timer_service.h"
+
+namespace jl::jobs {
+
+// Moves VMs between pools as the demand for them changes. A VM is moved once it is empty; one that
+// runs long-running tasks stays. Not thread-safe.
+class capacity_manager {
+public:
+    capacity_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
+                     const wave_manager& waves, job_table& jobs, task_runner& runner,
+                     std::int64_t token, milliseconds move_time, std::function<bool()> may_order);
+    ~capacity_manager();
+    capacity_manager(const capacity_manager&) = delete;
+    capacity_manager& operator=(const capacity_manager&) = delete;
+
+    // A job was accepted for the service.
+    void note_arrival(const std::string& service, const job& accepted);
+    // Does what can be done now; called several times a second.
+    void step(const fleet_config& config);
+
+private:
+    struct vm_move {
+        std::string from;
+        std::string to;
+        net::boot_time ordered_at{}; // epoch: still being emptied
+        bool open = false;           // the order has no answer yet
+    };
+    struct pool_members {
+        std::vector<const fleet_vm*> vms;
+        int arriving = 0;
+    };
+
+    // VMs that a pool can give away.
+    struct pool_surplus {
+        std::string pool;
+        int count = 0;
+        int lasting = 0; // of these, VMs that it has not wanted for some time
+    };
+
+    void settle_moves();
+    std::map<std::string, pool_members> members() const;
+    std::vector<decisions::pool_state> pool_states(const fleet_config& config);
+    void measure_demand(const fleet_config& config, std::vector<decisions::pool_state>& pools);
+    void plan(const std::vector<decisions::pool_state>& pools, const std::vector<int>& sizes);
+    void begin_move(const std::string& vm, const std::string& from, const std::string& to);
+    int largest_recent_size(const std::string& pool, int size);
+    void call_off(const std::string& pool, int count);
+    std::vector<std::string> candidates(const std::string& pool);
+    bool movable(const fleet_vm& vm);
+    void order_emptied();
+    void order(const std::string& vm, vm_move& move);
+
+    net::timer_service& timers_;
+    vm_port& vm_port_;
+    vm_directory& directory_;
+    const wave_manager& waves_;
+    job_table& jobs_;
+    task_runner& runner_;
+    std::int64_t token_;
+    milliseconds move_time_;
+    std::function<bool()> may_order_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+    decisions::demand_forecast demand_;
+    std::map<std::string, vm_move> moves_;    // by VM
+    std::map<std::string, std::deque<std::pair<net::boot_time, int>>> recent_sizes_; // by pool
+    task_resources vm_capacity_; // of the largest VM
+    std::map<std::string, net::boot_time> refused_until_; // by VM
+};
+
+} // namespace jl::jobs
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -4,7 +4,9 @@
 #include <utility>
 
 #include "base/log.h"
-#include "jobs/vm_manager.h"
+#include "jobs/capacity_manager.h"
+#include "jobs/vm_directory.h"
+#include "jobs/wave_manager.h"
 
 namespace jl::jobs {
 
@@ -15,6 +17,7 @@
 constexpr auto tick_interval = 8ms;
 constexpr auto housekeeping_interval = 100ms;
 constexpr auto load_retry_delay = 150ms;
+constexpr auto vm_order_slack = 200ms;
 // A configuration must be in force within two seconds even if its watch is silent.
 constexpr auto operator_resync = 700ms;
 constexpr auto worker_resync = 1000ms;
@@ -64,13 +67,25 @@
     }
     scheduler_ = std::make_unique<job_scheduler>(timers_, jobs_, *runner_, advice_.get());
     if (ports_.vms != nullptr) {
-        vms_ = std::make_unique<vm_manager>(timers_, *ports_.vms, *ports_.store, *ports_.documents,
-                                            jobs_, *runner_, leader_, settings_.vm_order_interval,
-                                            may_act_);
+        make_vm_managers();
     }
     load();
 }
 
+void engine::make_vm_managers()
+{
+    if (leader_.term > 1) {
+        vm_orders_from_ = timers_.now() + settings_.vm_order_interval + vm_order_slack;
+    }
+    const auto may_order = [this] { return may_act_() && timers_.now() >= vm_orders_from_; };
+    vms_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
+    waves_ = std::make_unique<wave_manager>(timers_, *ports_.vms, *vms_, *ports_.store,
+                                            *ports_.documents, *runner_, leader_, may_order);
+    capacity_ = std::make_unique<capacity_manager>(timers_, *ports_.vms, *vms_, *waves_, jobs_,
+                                                   *runner_, leader_.token, settings_.move_time,
+                                                   may_order);
+}
+
 engine::~engine()
 {
     *alive_ = false;
@@ -128,8 +143,8 @@
         else if (item.key == roster_key) {
             load_roster(item);
         }
-        else if (vms_ && begins_with(item.key, vm_manager::record_prefix)) {
-            vms_->load(item);
+        else if (waves_ && begins_with(item.key, wave_manager::record_prefix)) {
+            waves_->load(item);
         }
     }
     loaded_ = true;
@@ -199,9 +214,9 @@
         }
         return;
     }
-    if (vms_ && begins_with(item.key, documents.wave_prefix()) && item.revision != 0) {
+    if (waves_ && begins_with(item.key, documents.wave_prefix()) && item.revision != 0) {
         if (const auto wave = documents.decode_wave(item)) {
-            vms_->wave_requested(*wave);
+            waves_->wave_requested(*wave);
         }
     }
 }
@@ -227,9 +242,6 @@
             }
         }
     }
-    if (vms_) {
-        vms_->config_changed(*config_);
-    }
     tick_soon();
 }
 
@@ -397,6 +409,9 @@
         begin_occurrence(target);
     }
     target.waiters.push_back(answer);
+    if (capacity_) {
+        capacity_->note_arrival(queue->service, target);
+    }
     log_event(log_level::info, "job.submitted",
               {{"job", target.spec.id},
                {"queue", target.spec.queue},
@@ -682,7 +697,9 @@
         relocate_from_draining();
         control_pace();
         if (vms_) {
-            vms_->step();
+            vms_->refresh();
+            waves_->step();
+            capacity_->step(*config_);
         }
     }
     if (runner_->forget_unlisted()) {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -21,7 +21,9 @@
 
 namespace jl::jobs {
 
-class vm_manager;
+class capacity_manager;
+class vm_directory;
+class wave_manager;
 
 // Limits of the platform that the engine depends on.
 struct engine_settings {
@@ -30,6 +32,7 @@
     milliseconds stop_time{400};
     milliseconds status_retention{120000};
     milliseconds vm_order_interval{3000}; // least time between orders of two leaders to one VM
+    milliseconds move_time{1500};         // of a VM to another pool
 };
 
 // The ports that the engine uses; vms and advisor may be null. All must outlive the engine.
@@ -107,6 +110,7 @@
     void retire_finished();
     void relocate_from_draining();
     void control_pace();
+    void make_vm_managers();
     void update_roster();
     void housekeeping();
 
@@ -124,11 +128,14 @@
     std::unique_ptr<task_runner> runner_;
     std::unique_ptr<advice_book> advice_;
     std::unique_ptr<job_scheduler> scheduler_;
-    std::unique_ptr<vm_manager> vms_;
+    std::unique_ptr<vm_directory> vms_;
+    std::unique_ptr<wave_manager> waves_;
+    std::unique_ptr<capacity_manager> capacity_;
     std::unique_ptr<watched_prefix> workers_;
     std::unique_ptr<watched_prefix> operators_;
     bool loaded_ = false;
     bool unresolved_ = false; // some task of a former leader may run unknown to us
+    net::boot_time vm_orders_from_{}; // orders of a former leader to VMs are over by then
     bool ended_ = false;      // a newer leader was seen
 
     std::map<std::string, roster_entry> roster_;
--- /dev/null
+++ b/src/jobs/vm_directory.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jobs/ports.h"
+#include "jobs/task_runner.h"
+#include "net/timer_service.h"
+
+namespace jl::jobs {
+
+// The VMs of the fleet as the platform lists them, and the workers on them. Not thread-safe.
+class vm_directory {
+public:
+    vm_directory(net::timer_service& timers, vm_port& vms, task_runner& runner);
+    ~vm_directory();
+    vm_directory(const vm_directory&) = delete;
+    vm_directory& operator=(const vm_directory&) = delete;
+
+    // Reads the list again if that is due.
+    void refresh();
+    bool known() const { return listed_at_ != net::boot_time{}; }
+    // When the request for the present list was sent.
+    net::boot_time listed_at() const { return listed_at_; }
+
+    const std::vector<fleet_vm>& vms() const { return vms_; }
+    const fleet_vm* find(const std::string& vm) const;
+    // The worker on a VM; null if it has none that is known.
+    worker_slot* slot_of(const std::string& vm);
+
+private:
+    net::timer_service& timers_;
+    vm_port& port_;
+    task_runner& runner_;
+    std::vector<fleet_vm> vms_;
+    net::boot_time listed_at_{};
+    net::boot_time next_read_{};
+    bool reading_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace jl::jobs
--- a/src/jobs/vm_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -1,4 +1,4 @@
-#include "jobs/vm_manager.h"
+#include "jobs/wave_manager.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,30 +14,26 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto busy_list_interval = 400ms;
-constexpr auto idle_list_interval = 2000ms;
 constexpr auto order_retry_interval = 500ms;
 // VMs that are emptied ahead, beyond those that may be down at once.
 constexpr int emptied_ahead = 1;
 
 } // namespace
 
-vm_manager::vm_manager(net::timer_service& timers, vm_port& vms, store_port& store,
-                       const document_codec& documents, job_table& jobs, task_runner& runner,
-                       const leader_record& leader, milliseconds order_interval,
-                       std::function<bool()> may_act)
-    : timers_(timers), vm_port_(vms), store_(store), documents_(documents), jobs_(jobs),
-      runner_(runner), leader_(leader), may_act_(std::move(may_act)),
-      orders_from_(timers.now() + (leader.term > 1 ? order_interval + 200ms : 0ms))
+wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
+                           store_port& store, const document_codec& documents, task_runner& runner,
+                           const leader_record& leader, std::function<bool()> may_order)
+    : timers_(timers), vm_port_(vms), directory_(directory), store_(store), documents_(documents),
+      runner_(runner), leader_(leader), may_order_(std::move(may_order))
 {
 }
 
-vm_manager::~vm_manager()
+wave_manager::~wave_manager()
 {
     *alive_ = false;
 }
 
-void vm_manager::load(const store_item& item)
+void wave_manager::load(const store_item& item)
 {
     const auto document = nlohmann::json::parse(item.value, nullptr, false);
     if (!document.is_object()) {
@@ -52,7 +48,7 @@
     }
 }
 
-void vm_manager::wave_requested(const wave_request& wave)
+void wave_manager::wave_requested(const wave_request& wave)
 {
     auto& progress = waves_[wave.wave];
     if (!progress.vms.empty()) {
@@ -71,23 +67,20 @@
                {"vms", std::to_string(wave.vms.size())},
                {"max_concurrent", std::to_string(wave.max_concurrent)},
                {"duration_s", std::to_string(wave.duration.count())}});
-    next_list_ = {};
 }
 
-void vm_manager::config_changed(const fleet_config& config)
+bool wave_manager::engaged(const std::string& vm) const
 {
-    config_ = config;
-}
-
-bool vm_manager::may_order() const
-{
-    return may_act_() && timers_.now() >= orders_from_;
+    return std::any_of(waves_.begin(), waves_.end(), [&](const auto& entry) {
+        const auto found = entry.second.vms.find(vm);
+        return found != entry.second.vms.end() && found->second.phase != wave_phase::finished &&
+               found->second.phase != wave_phase::waiting;
+    });
 }
 
-void vm_manager::step()
+void wave_manager::step()
 {
-    refresh_list();
-    if (listed_at_ == net::boot_time{}) {
+    if (!directory_.known()) {
         return;
     }
     for (auto& [number, wave] : waves_) {
@@ -95,64 +88,7 @@
     }
 }
 
-// --- The list of VMs ---------------------------------------------------------------------------
-
-void vm_manager::refresh_list()
-{
-    const auto now = timers_.now();
-    if (listing_ || now < next_list_) {
-        return;
-    }
-    const bool busy = std::any_of(waves_.begin(), waves_.end(),
-                                  [](const auto& entry) { return !entry.second.completed; });
-    if (!busy) {
-        return;
-    }
-    listing_ = true;
-    next_list_ = now + (busy ? busy_list_interval : idle_list_interval);
-    vm_port_.list([this, now, alive = alive_](std::optional<std::vector<fleet_vm>> listed) {
-        if (!*alive) {
-            return;
-        }
-        listing_ = false;
-        if (listed) {
-            on_list(*listed, now);
-        }
-    });
-}
-
-void vm_manager::on_list(const std::vector<fleet_vm>& listed, net::boot_time asked)
-{
-    vms_ = listed;
-    listed_at_ = asked;
-}
-
-const fleet_vm* vm_manager::find_vm(const std::string& vm) const
-{
-    const auto found =
-        std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) { return entry.vm == vm; });
-    return found == vms_.end() ? nullptr : &*found;
-}
-
-worker_slot* vm_manager::slot_of(const std::string& vm)
-{
-    const auto* const listed = find_vm(vm);
-    if (listed != nullptr && !listed->worker.empty()) {
-        if (auto* const slot = runner_.find_slot(listed->worker)) {
-            return slot;
-        }
-    }
-    for (auto& [worker, slot] : runner_.slots()) {
-        if (slot.listed && slot.info().vm == vm) {
-            return &slot;
-        }
-    }
-    return nullptr;
-}
-
-// --- Waves -------------------------------------------------------------------------------------
-
-void vm_manager::step_wave(wave_progress& wave)
+void wave_manager::step_wave(wave_progress& wave)
 {
     if (!wave.status_written) {
         write_status(wave);
@@ -165,12 +101,12 @@
     order_emptied(wave);
 }
 
-void vm_manager::update_wave(wave_progress& wave)
+void wave_manager::update_wave(wave_progress& wave)
 {
     bool all_finished = true;
     for (auto& [name, vm] : wave.vms) {
-        const auto* const listed = find_vm(name);
-        if (vm.phase == wave_phase::ordered && !vm.order_open && listed_at_ > vm.ordered_at &&
+        const auto* const listed = directory_.find(name);
+        if (vm.phase == wave_phase::ordered && !vm.order_open && directory_.listed_at() > vm.ordered_at &&
             listed != nullptr && listed->state == vm_state::up) {
             vm.phase = wave_phase::finished;
             wave.status_written = false; // the record names it
@@ -188,7 +124,7 @@
     }
 }
 
-void vm_manager::empty_next(wave_progress& wave)
+void wave_manager::empty_next(wave_progress& wave)
 {
     int engaged = 0;
     std::vector<std::pair<std::size_t, std::string>> candidates; // by number of tasks
@@ -196,12 +132,12 @@
         if (vm.phase == wave_phase::emptying || vm.phase == wave_phase::ordered) {
             ++engaged;
         }
-        const auto* const listed = find_vm(name);
+        const auto* const listed = directory_.find(name);
         if (vm.phase != wave_phase::waiting || listed == nullptr ||
             listed->state != vm_state::up) {
             continue;
         }
-        auto* const slot = slot_of(name);
+        auto* const slot = directory_.slot_of(name);
         candidates.emplace_back(slot == nullptr ? 0 : slot->assigned.size(), name);
     }
     std::sort(candidates.begin(), candidates.end());
@@ -216,13 +152,13 @@
         if (vm.phase != wave_phase::emptying) {
             continue;
         }
-        if (auto* const slot = slot_of(name)) {
+        if (auto* const slot = directory_.slot_of(name)) {
             empty_worker(*slot);
         }
     }
 }
 
-void vm_manager::empty_worker(worker_slot& slot)
+void wave_manager::empty_worker(worker_slot& slot)
 {
     slot.retiring = true;
     const auto assigned = slot.assigned;
@@ -237,11 +173,11 @@
     }
 }
 
-void vm_manager::order_emptied(wave_progress& wave)
+void wave_manager::order_emptied(wave_progress& wave)
 {
     int down = 0;
     for (const auto& [name, vm] : wave.vms) {
-        const auto* const listed = find_vm(name);
+        const auto* const listed = directory_.find(name);
         const bool in_maintenance =
             listed != nullptr && listed->state == vm_state::maintenance;
         if (vm.phase == wave_phase::ordered || in_maintenance) {
@@ -256,10 +192,10 @@
         if (vm.phase != wave_phase::emptying || down >= wave.request.max_concurrent) {
             continue;
         }
-        const auto* const slot = slot_of(name);
-        const auto* const listed = find_vm(name);
+        const auto* const slot = directory_.slot_of(name);
+        const auto* const listed = directory_.find(name);
         const bool empty = slot == nullptr || slot->assigned.empty();
-        if (empty && listed != nullptr && listed->state == vm_state::up && may_order()) {
+        if (empty && listed != nullptr && listed->state == vm_state::up && may_order_()) {
             ++down;
             vm.phase = wave_phase::ordered;
             order_maintenance(wave, name);
@@ -267,9 +203,9 @@
     }
 }
 
-void vm_manager::order_maintenance(wave_progress& wave, const std::string& name)
+void wave_manager::order_maintenance(wave_progress& wave, const std::string& name)
 {
-    if (!may_order()) {
+    if (!may_order_()) {
         return;
     }
     auto& vm = wave.vms[name];
@@ -303,7 +239,7 @@
                       });
 }
 
-std::string vm_manager::encode_progress(const wave_progress& wave) const
+std::string wave_manager::encode_progress(const wave_progress& wave) const
 {
     nlohmann::json finished = nlohmann::json::array();
     for (const auto& [name, vm] : wave.vms) {
@@ -314,9 +250,9 @@
     return nlohmann::json{{"wave", wave.request.wave}, {"finished", std::move(finished)}}.dump();
 }
 
-void vm_manager::write_status(wave_progress& wave)
+void wave_manager::write_status(wave_progress& wave)
 {
-    if (wave.writing || !may_act_()) {
+    if (wave.writing || !may_order_()) {
         return;
     }
     wave.writing = true;
--- a/src/jobs/vm_manager.h
+++ b/src/jobs/wave_manager.h
@@ -4,38 +4,37 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "jobs/job_table.h"
 #include "jobs/leadership.h"
 #include "jobs/ports.h"
 #include "jobs/task_runner.h"
+#include "jobs/vm_directory.h"
 #include "net/timer_service.h"
 
 namespace jl::jobs {
 
-// Maintains VMs in waves and moves them between pools, without taking away more tasks of a step
-// than it allows. A VM is emptied first: it gets no new tasks, its long-running tasks move one by
-// one, and the others end by themselves. Not thread-safe.
-class vm_manager {
+// Maintains VMs in waves, without taking away more tasks of a step than it allows. A VM is emptied
+// first: it gets no new tasks, its long-running tasks move one by one, and the others end by
+// themselves. Not thread-safe.
+class wave_manager {
 public:
     static constexpr const char* record_prefix = "jl/wave/";
 
-    vm_manager(net::timer_service& timers, vm_port& vms, store_port& store,
-               const document_codec& documents, job_table& jobs, task_runner& runner,
-               const leader_record& leader, milliseconds order_interval,
-               std::function<bool()> may_act);
-    ~vm_manager();
-    vm_manager(const vm_manager&) = delete;
-    vm_manager& operator=(const vm_manager&) = delete;
+    // `may_order` tells whether orders to VMs may be given now.
+    wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
+                 store_port& store, const document_codec& documents, task_runner& runner,
+                 const leader_record& leader, std::function<bool()> may_order);
+    ~wave_manager();
+    wave_manager(const wave_manager&) = delete;
+    wave_manager& operator=(const wave_manager&) = delete;
 
     // The record of a wave that a former leader worked on.
     void load(const store_item& item);
     void wave_requested(const wave_request& wave);
-    void config_changed(const fleet_config& config);
+    // True if the VM is to be maintained and has not been yet.
+    bool engaged(const std::string& vm) const;
     // Does what can be done now; called several times a second.
     void step();
 
@@ -55,12 +54,6 @@
         bool writing = false;
     };
 
-    void refresh_list();
-    void on_list(const std::vector<fleet_vm>& listed, net::boot_time asked);
-    const fleet_vm* find_vm(const std::string& vm) const;
-    worker_slot* slot_of(const std::string& vm);
-    bool may_order() const;
-
     void step_wave(wave_progress& wave);
     void update_wave(wave_progress& wave);
     void empty_next(wave_progress& wave);
@@ -72,20 +65,14 @@
 
     net::timer_service& timers_;
     vm_port& vm_port_;
+    vm_directory& directory_;
     store_port& store_;
     const document_codec& documents_;
-    job_table& jobs_;
     task_runner& runner_;
     leader_record leader_;
-    std::function<bool()> may_act_;
-    net::boot_time orders_from_; // orders of the former leader are over by then
+    std::function<bool()> may_order_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
-    std::optional<fleet_config> config_;
-    std::vector<fleet_vm> vms_;
-    net::boot_time listed_at_{}; // when the request for `vms_` was sent
-    net::boot_time next_list_{};
-    bool listing_ = false;
     std::map<std::int64_t, wave_progress> waves_;
     std::map<std::int64_t, std::vector<std::string>> finished_before_; // of former leaders, by wave
 };
