--- a/src/decisions/demand_forecast.cpp
+++ b/src/decisions/demand_forecast.cpp
@@ -51,7 +51,8 @@
     if (last_count < least_arrivals_for_trend || growth <= 0) {
         return rate;
     }
-    return rate + growth * seconds(lead);
+    // Work that arrives in a clump, as after a change of leaders, is no lasting growth.
+    return rate + std::min(growth * seconds(lead), rate);
 }
 
 } // namespace jl::decisions
--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -1,6 +1,7 @@
 #include "jobs/capacity_manager.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "base/log.h"
@@ -18,6 +19,7 @@
 // From a VM's arrival in a pool to the first start on it.
 constexpr auto arrival_delay = 200ms;
 constexpr auto order_retry_interval = 500ms;
+constexpr int least_told_change = 2; // VMs
 constexpr auto refusal_pause = 5000ms;
 // A moved VM that is not listed in its new pool after this long is looked at anew.
 constexpr auto arrival_limit = 6000ms;
@@ -86,7 +88,9 @@
     }
     auto pools = pool_states(config);
     measure_demand(config, pools);
-    plan(pools, decisions::size_pools(pools, {}));
+    const auto sizes = decisions::size_pools(pools, {});
+    log_changes(pools, sizes);
+    plan(pools, sizes);
     order_emptied();
 }
 
@@ -290,6 +294,27 @@
     }
 }
 
+// Tells of sizes that differ from those told last, with what they follow from.
+void capacity_manager::log_changes(const std::vector<decisions::pool_state>& pools,
+                                   const std::vector<int>& sizes)
+{
+    for (std::size_t index = 0; index < pools.size(); ++index) {
+        const auto& pool = pools[index];
+        auto& told = told_sizes_[pool.pool];
+        if (std::abs(told - sizes[index]) < least_told_change) {
+            continue;
+        }
+        told = sizes[index];
+        log_event(log_level::info, "pool.size",
+                  {{"pool", pool.pool},
+                   {"vms", std::to_string(pool.vms)},
+                   {"target", std::to_string(sizes[index])},
+                   {"load", std::to_string(pool.wanted_load)},
+                   {"expected", std::to_string(pool.expected_load)},
+                   {"pinned", std::to_string(pool.pinned_vms)}});
+    }
+}
+
 // The largest size that the pool was to have in the last moments.
 int capacity_manager::largest_recent_size(const std::string& pool, int size)
 {
@@ -340,6 +365,9 @@
         if (status == vm_order_status::accepted) {
             found->second.open = false;
             found->second.ordered_at = timers_.now();
+            if (auto* const slot = directory_.slot_of(vm)) {
+                runner_.worker_ended(*slot);
+            }
             return;
         }
         if (status == vm_order_status::unanswered) {
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -62,6 +62,8 @@
     void measure_demand(const fleet_config& config, std::vector<decisions::pool_state>& pools);
     void plan(const std::vector<decisions::pool_state>& pools, const std::vector<int>& sizes);
     void begin_move(const std::string& vm, const std::string& from, const std::string& to);
+    void log_changes(const std::vector<decisions::pool_state>& pools,
+                     const std::vector<int>& sizes);
     int largest_recent_size(const std::string& pool, int size);
     void call_off(const std::string& pool, int count);
     std::vector<std::string> candidates(const std::string& pool);
@@ -83,6 +85,7 @@
     decisions::demand_forecast demand_;
     std::map<std::string, vm_move> moves_;    // by VM
     std::map<std::string, std::deque<std::pair<net::boot_time, int>>> recent_sizes_; // by pool
+    std::map<std::string, int> told_sizes_; // by pool
     task_resources vm_capacity_; // of the largest VM
     std::map<std::string, net::boot_time> refused_until_; // by VM
 };
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -225,6 +225,9 @@
                           if (status == vm_order_status::accepted) {
                               vm.order_open = false;
                               vm.ordered_at = timers_.now();
+                              if (auto* const slot = directory_.slot_of(name)) {
+                                  runner_.worker_ended(*slot);
+                              }
                           }
                           else if (status == vm_order_status::busy ||
                                    status == vm_order_status::throttled) {
