Stop a long-running task for a wave only if another worker has room; count no VM twice

Ruled out: fencing and the reservation (the task waited in order). VMs in maintenance no longer count for their pool, and a task stays until another worker has room, or, without any VM to spare, until nothing else keeps its VM from being taken down.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -114,7 +114,8 @@
 {
     std::map<std::string, pool_members> pools;
     for (const auto& vm : directory_.vms()) {
-        if (vm.state == vm_state::down) {
+        // A VM that is being maintained runs nothing for its pool meanwhile.
+        if (vm.state == vm_state::down || waves_.engaged(vm.vm)) {
             continue;
         }
         const auto moving = moves_.find(vm.vm);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -80,7 +80,11 @@
     const auto may_order = [this] { return may_act_() && timers_.now() >= vm_orders_from_; };
     vms_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
     waves_ = std::make_unique<wave_manager>(timers_, *ports_.vms, *vms_, *ports_.store,
-                                            *ports_.documents, *runner_, leader_, may_order);
+                                            *ports_.documents, *runner_, leader_, may_order,
+                                            [this](const task& target) {
+                                                return config_ && scheduler_->fits_elsewhere(
+                                                                      target, *config_);
+                                            });
     capacity_ = std::make_unique<capacity_manager>(timers_, *ports_.vms, *vms_, *waves_, jobs_,
                                                    *runner_, leader_.token, settings_.move_time,
                                                    may_order);
@@ -756,7 +760,8 @@
         }
         const auto assigned = slot.assigned;
         for (auto* const task : assigned) {
-            if (task->spec().long_running && task->phase == task_phase::running) {
+            if (task->spec().long_running && task->phase == task_phase::running &&
+                scheduler_->fits_elsewhere(*task, *config_)) {
                 runner_->stop(*task, "its worker is draining");
             }
         }
--- /dev/null
+++ b/src/jobs/fleet_changes_test.cpp
@@ -0,0 +1,169 @@
+// Waves and moves of VMs while tasks run on them.
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "jobs/testing/test_fleet.h"
+
+namespace jl::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::make_job;
+using testing::test_fleet;
+
+const std::string job_id = "00000000000000a1";
+
+// A fleet whose pool "rounds" has `pool` VMs, with `standby` more powered off.
+class fleet_changes : public ::testing::Test {
+protected:
+    void add_vms(int pool, int standby)
+    {
+        fleet_.documents.config.services = {{"rounds", false, true}, {"spare", true, true}};
+        fleet_.vms.standby_pool = "spare";
+        for (int index = 0; index < pool; ++index) {
+            fleet_.vms.add("m" + std::to_string(index), "rounds");
+        }
+        for (int index = 0; index < standby; ++index) {
+            fleet_.vms.add("s" + std::to_string(index), "spare");
+        }
+    }
+
+    static job_spec lasting_job(const std::string& id, int tasks, int max_per_worker)
+    {
+        auto spec = make_job(id, 1, tasks);
+        spec.steps[0].long_running = true;
+        spec.steps[0].max_per_worker = max_per_worker;
+        spec.steps[0].max_unavailable = 1;
+        return spec;
+    }
+
+    int tasks_at_work(int tasks) const
+    {
+        int count = 0;
+        for (int index = 0; index < tasks; ++index) {
+            count += fleet_.workers.runs(task_name{job_id, 0, 0, index}.to_string()) ? 1 : 0;
+        }
+        return count;
+    }
+
+    // Runs for `span` and returns the longest time for which one task did not run.
+    std::chrono::milliseconds longest_absence(std::chrono::milliseconds span, int tasks)
+    {
+        constexpr auto interval = 20ms;
+        std::map<int, std::chrono::milliseconds> absent;
+        std::chrono::milliseconds longest{0};
+        for (auto elapsed = 0ms; elapsed < span; elapsed += interval) {
+            fleet_.timers.run_for(interval);
+            EXPECT_GE(tasks_at_work(tasks), tasks - 1) << "after " << elapsed.count() << " ms";
+            for (int index = 0; index < tasks; ++index) {
+                const bool runs =
+                    fleet_.workers.runs(task_name{job_id, 0, 0, index}.to_string());
+                absent[index] = runs ? 0ms : absent[index] + interval;
+                longest = std::max(longest, absent[index]);
+            }
+        }
+        return longest;
+    }
+
+    wave_request wave_of(int vms, int max_concurrent) const
+    {
+        wave_request wave;
+        wave.wave = 1;
+        for (int index = 0; index < vms; ++index) {
+            wave.vms.push_back("m" + std::to_string(index));
+        }
+        wave.duration = 60s;
+        wave.max_concurrent = max_concurrent;
+        return wave;
+    }
+
+    test_fleet fleet_{0};
+};
+
+// Long-running tasks were stopped for a wave while no other worker could take them, and then did
+// not run for 20 s (gerddi-jasmine, quiet-1 --seed 284773370352).
+TEST_F(fleet_changes, wave_keeps_long_running_tasks_at_work)
+{
+    fleet_.workers.fallback.duration = 600s;
+    add_vms(5, 4);
+    fleet_.add_node("a");
+    ASSERT_TRUE(fleet_.await_leader());
+    fleet_.timers.run_for(500ms);
+    ASSERT_EQ(fleet_.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
+    fleet_.timers.run_for(4s);
+    ASSERT_EQ(tasks_at_work(5), 5);
+    fleet_.request_wave(wave_of(5, 2));
+    EXPECT_LE(longest_absence(30s, 5), 1500ms);
+    EXPECT_EQ(fleet_.vms.maintained(), 5);
+    EXPECT_LE(fleet_.vms.most_in_maintenance(), 2);
+    const auto* const status = fleet_.store.find("status/1");
+    ASSERT_NE(status, nullptr);
+    EXPECT_EQ(status->value, "completed");
+    EXPECT_TRUE(fleet_.workers.violations().empty());
+}
+
+// Without a VM to spare, each task pauses while its own VM is maintained, one at a time.
+TEST_F(fleet_changes, wave_without_spare_vms_pauses_one_task_at_a_time)
+{
+    fleet_.workers.fallback.duration = 600s;
+    add_vms(5, 0);
+    fleet_.add_node("a");
+    ASSERT_TRUE(fleet_.await_leader());
+    fleet_.timers.run_for(500ms);
+    ASSERT_EQ(fleet_.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
+    fleet_.timers.run_for(4s);
+    fleet_.request_wave(wave_of(5, 2));
+    EXPECT_LE(longest_absence(50s, 5), 3000ms);
+    EXPECT_EQ(fleet_.vms.maintained(), 5);
+    EXPECT_EQ(fleet_.store.find("status/1")->value, "completed");
+}
+
+// A wave goes on under a new leader, and VMs that are done are not taken down again.
+TEST_F(fleet_changes, wave_goes_on_under_a_new_leader)
+{
+    add_vms(6, 0);
+    fleet_.add_node("a");
+    ASSERT_TRUE(fleet_.await_leader());
+    fleet_.add_node("b");
+    fleet_.timers.run_for(500ms);
+    fleet_.request_wave(wave_of(6, 1));
+    fleet_.timers.run_for(7s);
+    EXPECT_GE(fleet_.vms.maintained(), 2);
+    fleet_.kill("a");
+    fleet_.timers.run_for(25s);
+    EXPECT_EQ(fleet_.vms.maintained(), 6);
+    EXPECT_EQ(fleet_.vms.most_in_maintenance(), 1);
+    EXPECT_EQ(fleet_.store.find("status/1")->value, "completed");
+}
+
+// Demand that rises within two seconds, stays for some, and falls again: VMs come from the standby
+// pool in time and go back, each once or nearly so.
+TEST_F(fleet_changes, vms_follow_the_turn_of_a_queue)
+{
+    add_vms(2, 14);
+    fleet_.add_node("a");
+    ASSERT_TRUE(fleet_.await_leader());
+    fleet_.timers.run_for(1s);
+    int number = 0;
+    const auto submit_for = [&](std::chrono::milliseconds span, int a_second) {
+        for (int elapsed = 0; elapsed < span.count(); elapsed += 1000 / a_second) {
+            auto spec = make_job("00000000000" + std::to_string(10000 + number++), 1, 8);
+            fleet_.leader()->submit(std::move(spec), [](submit_outcome) {});
+            fleet_.timers.run_for(std::chrono::milliseconds(1000 / a_second));
+        }
+    };
+    submit_for(1s, 6);
+    submit_for(4s, 20); // 20 jobs of 8 tasks of 4 cores: 10 VMs
+    EXPECT_GE(fleet_.vms.vms_in("rounds"), 9);
+    fleet_.timers.run_for(8s);
+    EXPECT_LE(fleet_.vms.vms_in("rounds"), 3);
+    EXPECT_LE(fleet_.vms.moves(), 34);
+    EXPECT_TRUE(fleet_.workers.violations().empty());
+}
+
+} // namespace
+} // namespace jl::jobs
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -175,8 +175,7 @@
     }
 }
 
-void job_scheduler::pass_pool(const fleet_config& config, const std::string& service,
-                              const std::vector<job*>& jobs)
+job_scheduler::pool_pass job_scheduler::look_at_pool(const std::string& service) const
 {
     pool_pass pool;
     pool.now = timers_.now();
@@ -187,6 +186,33 @@
             pool.workers.push_back(worker);
         }
     }
+    return pool;
+}
+
+bool job_scheduler::fits_elsewhere(const task& target, const fleet_config& config) const
+{
+    const auto* const queue = config.find_queue(target.owner->spec.queue);
+    if (queue == nullptr) {
+        return false;
+    }
+    auto pool = look_at_pool(queue->service);
+    for (const auto& occurrence : target.owner->occurrences) {
+        if (occurrence.number == target.occurrence) {
+            pool.count_step(occurrence.steps[static_cast<std::size_t>(target.step)]);
+        }
+    }
+    for (auto& room : pool.rooms) {
+        if (room.worker == target.worker) {
+            room.free_memory_mb = -1;
+        }
+    }
+    return decisions::choose_worker(demand_of(target), pool.rooms).has_value();
+}
+
+void job_scheduler::pass_pool(const fleet_config& config, const std::string& service,
+                              const std::vector<job*>& jobs)
+{
+    auto pool = look_at_pool(service);
     if (pool.rooms.empty()) {
         return;
     }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -21,9 +21,12 @@
                   advice_book* advice);
 
     void pass(const fleet_config& config);
+    // True if another worker than the one it is on has room for the task now.
+    bool fits_elsewhere(const task& target, const fleet_config& config) const;
 
 private:
     struct pool_pass;
+    pool_pass look_at_pool(const std::string& service) const;
     void pass_pool(const fleet_config& config, const std::string& service,
                    const std::vector<job*>& jobs);
     void start_job(job& target, const queue_config& queue, pool_pass& pool);
--- /dev/null
+++ b/src/jobs/testing/fake_vms.cpp
@@ -0,0 +1,120 @@
+#include "jobs/testing/fake_vms.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jl::jobs::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto latency = 5ms;
+constexpr auto move_time = 1500ms;
+constexpr auto maintenance_time = 2000ms;
+
+} // namespace
+
+fake_vms::fake_vms(net::timer_service& timers, fake_workers& workers, callbacks callbacks)
+    : timers_(timers), workers_(workers), callbacks_(std::move(callbacks))
+{
+}
+
+void fake_vms::add(const std::string& vm, const std::string& pool)
+{
+    auto& added = vms_[vm];
+    added.vm = vm;
+    added.pool = pool;
+    added.capacity = {64000, 131072, 0};
+    bring_up(vm);
+}
+
+void fake_vms::bring_up(const std::string& vm)
+{
+    auto& up = vms_.at(vm);
+    up.state = vm_state::up;
+    up.worker.clear();
+    if (up.pool == standby_pool) {
+        return;
+    }
+    up.worker = "v" + std::to_string(next_worker_++);
+    auto info = workers_.add(up.worker, up.pool, up.capacity);
+    info.vm = vm;
+    callbacks_.worker_listed(info);
+}
+
+void fake_vms::take_down(const std::string& vm, vm_state state)
+{
+    auto& down = vms_.at(vm);
+    if (!down.worker.empty()) {
+        workers_.crash(down.worker);
+        callbacks_.worker_unlisted(down.worker);
+        down.worker.clear();
+    }
+    down.state = state;
+}
+
+void fake_vms::list(std::function<void(std::optional<std::vector<fleet_vm>>)> done)
+{
+    timers_.call_after(latency, [this, done = std::move(done)] {
+        std::vector<fleet_vm> listed;
+        for (const auto& [name, vm] : vms_) {
+            listed.push_back(vm);
+        }
+        done(std::move(listed));
+    });
+}
+
+void fake_vms::move(const std::string& vm, const std::string& pool, std::int64_t,
+                    std::function<void(vm_order_status)> done)
+{
+    timers_.call_after(latency, [this, vm, pool, done = std::move(done)] {
+        auto& moved = vms_.at(vm);
+        if (moved.state != vm_state::up) {
+            done(vm_order_status::busy);
+            return;
+        }
+        if (moved.pool != pool) {
+            ++moves_;
+            take_down(vm, vm_state::moving);
+            moved.pool = pool;
+            timers_.call_after(move_time, [this, vm] { bring_up(vm); });
+        }
+        done(vm_order_status::accepted);
+    });
+}
+
+void fake_vms::maintain(const std::string& vm, std::int64_t wave, std::int64_t,
+                        std::function<void(vm_order_status)> done)
+{
+    timers_.call_after(latency, [this, vm, wave, done = std::move(done)] {
+        if (done_in_wave_.count({vm, wave}) != 0) {
+            done(vm_order_status::accepted); // the platform carries an order out once
+            return;
+        }
+        if (vms_.at(vm).state != vm_state::up) {
+            done(vm_order_status::busy);
+            return;
+        }
+        done_in_wave_.insert({vm, wave});
+        take_down(vm, vm_state::maintenance);
+        const auto down = std::count_if(vms_.begin(), vms_.end(), [](const auto& entry) {
+            return entry.second.state == vm_state::maintenance;
+        });
+        most_in_maintenance_ = std::max(most_in_maintenance_, static_cast<int>(down));
+        timers_.call_after(maintenance_time, [this, vm] {
+            ++maintained_;
+            bring_up(vm);
+        });
+        done(vm_order_status::accepted);
+    });
+}
+
+int fake_vms::vms_in(const std::string& pool) const
+{
+    return static_cast<int>(std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        return entry.second.pool == pool;
+    }));
+}
+
+} // namespace jl::jobs::testing
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -13,17 +13,18 @@
 } // namespace
 
 test_node::test_node(net::timer_service& timers, fake_store& store, fake_workers& workers,
-                     const test_documents& documents, const std::string& name)
+                     fake_vms& vms, const test_documents& documents, const std::string& name)
     : store_(store.connect())
 {
     leadership_settings settings;
     settings.node = name;
     settings.address = {"10.0.0.9", 1};
     leadership::callbacks callbacks;
-    callbacks.elected = [this, &timers, &workers, &documents](const leader_record& leader) {
+    callbacks.elected = [this, &timers, &workers, &vms, &documents](const leader_record& leader) {
         engine_ports ports;
         ports.store = &store_;
         ports.workers = &workers;
+        ports.vms = &vms;
         ports.documents = &documents;
         engine_ = std::make_unique<engine>(
             timers, ports, engine_settings{}, leader, [this] { return election_->holds(); },
@@ -68,10 +69,16 @@
 test_node& test_fleet::add_node(const std::string& name)
 {
     auto& node = nodes[name];
-    node = std::make_unique<test_node>(timers, store, workers, documents, name);
+    node = std::make_unique<test_node>(timers, store, workers, vms, documents, name);
     return *node;
 }
 
+void test_fleet::request_wave(const wave_request& wave)
+{
+    documents.wave = wave;
+    store.put(documents.wave_prefix() + std::to_string(wave.wave), "");
+}
+
 void test_fleet::list_worker(const listed_worker& info)
 {
     documents.workers[info.id] = info;
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -9,6 +9,7 @@
 #include "jobs/engine.h"
 #include "jobs/leadership.h"
 #include "jobs/testing/fake_store.h"
+#include "jobs/testing/fake_vms.h"
 #include "jobs/testing/fake_workers.h"
 #include "jobs/testing/virtual_timers.h"
 
@@ -19,6 +20,7 @@
 public:
     fleet_config config;
     std::map<std::string, listed_worker> workers;
+    std::optional<wave_request> wave;
 
     std::optional<fleet_config> decode_config(const store_item& item) const override
     {
@@ -26,16 +28,16 @@
         result.revision = item.revision;
         return result;
     }
-    std::optional<wave_request> decode_wave(const store_item&) const override
-    {
-        return std::nullopt;
-    }
+    std::optional<wave_request> decode_wave(const store_item&) const override { return wave; }
     std::optional<listed_worker> decode_worker(const store_item& item) const override
     {
         const auto found = workers.find(item.key.substr(worker_prefix().size()));
         return found == workers.end() ? std::nullopt : std::make_optional(found->second);
     }
-    std::string encode_wave_status(bool) const override { return ""; }
+    std::string encode_wave_status(bool completed) const override
+    {
+        return completed ? "completed" : "running";
+    }
     std::string wave_status_key(std::int64_t wave) const override
     {
         return "status/" + std::to_string(wave);
@@ -49,7 +51,7 @@
 class test_node {
 public:
     test_node(net::timer_service& timers, fake_store& store, fake_workers& workers,
-              const test_documents& documents, const std::string& name);
+              fake_vms& vms, const test_documents& documents, const std::string& name);
     ~test_node();
     test_node(const test_node&) = delete;
     test_node& operator=(const test_node&) = delete;
@@ -73,6 +75,7 @@
     test_node& add_node(const std::string& name);
     // The process ends without notice.
     void kill(const std::string& name) { nodes.erase(name); }
+    void request_wave(const wave_request& wave);
     void list_worker(const listed_worker& info);
     void unlist_worker(const std::string& id);
 
@@ -92,6 +95,11 @@
     virtual_timers timers;
     fake_store store{timers};
     fake_workers workers{timers};
+    // Empty unless a test adds VMs.
+    fake_vms vms{timers,
+                 workers,
+                 {[this](const listed_worker& info) { list_worker(info); },
+                  [this](const std::string& worker) { unlist_worker(worker); }}};
     test_documents documents;
     std::map<std::string, std::unique_ptr<test_node>> nodes;
 };
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -15,6 +15,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto order_retry_interval = 500ms;
+// Time for another VM to come into the pool, before a long-running task that fits nowhere else is
+// stopped.
+constexpr auto relocation_patience = 4000ms;
 // VMs that are emptied ahead, beyond those that may be down at once.
 constexpr int emptied_ahead = 1;
 
@@ -22,9 +25,11 @@
 
 wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                            store_port& store, const document_codec& documents, task_runner& runner,
-                           const leader_record& leader, std::function<bool()> may_order)
+                           const leader_record& leader, std::function<bool()> may_order,
+                           std::function<bool(const task&)> may_relocate)
     : timers_(timers), vm_port_(vms), directory_(directory), store_(store), documents_(documents),
-      runner_(runner), leader_(leader), may_order_(std::move(may_order))
+      runner_(runner), leader_(leader), may_order_(std::move(may_order)),
+      may_relocate_(std::move(may_relocate))
 {
 }
 
@@ -145,6 +150,7 @@
     for (int index = 0; index < room && index < static_cast<int>(candidates.size()); ++index) {
         const auto& name = candidates[static_cast<std::size_t>(index)].second;
         wave.vms[name].phase = wave_phase::emptying;
+        wave.vms[name].emptying_since = timers_.now();
         log_event(log_level::info, "wave.emptying",
                   {{"wave", std::to_string(wave.request.wave)}, {"vm", name}});
     }
@@ -153,21 +159,27 @@
             continue;
         }
         if (auto* const slot = directory_.slot_of(name)) {
-            empty_worker(*slot);
+            empty_worker(*slot, vm.emptying_since);
         }
     }
 }
 
-void wave_manager::empty_worker(worker_slot& slot)
+void wave_manager::empty_worker(worker_slot& slot, net::boot_time since)
 {
     slot.retiring = true;
     const auto assigned = slot.assigned;
+    // Where no other worker comes to have room, a task has to pause while its VM is maintained; it
+    // is stopped once nothing else keeps the VM from being taken down.
+    const bool only_long_running =
+        std::all_of(assigned.begin(), assigned.end(),
+                    [](const task* other) { return other->spec().long_running; });
+    const bool must_pause = only_long_running && timers_.now() >= since + relocation_patience;
     for (auto* const task : assigned) {
         if (task->phase != task_phase::running || !task->spec().long_running) {
             continue;
         }
         // Also a task that was starting up at the last report may be at work by now.
-        if (may_interrupt(*task, runner_)) {
+        if (may_interrupt(*task, runner_) && (must_pause || may_relocate_(*task))) {
             runner_.stop(*task, "its worker is emptied");
         }
     }
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -22,10 +22,12 @@
 public:
     static constexpr const char* record_prefix = "jl/wave/";
 
-    // `may_order` tells whether orders to VMs may be given now.
+    // `may_order` tells whether orders to VMs may be given now, `may_relocate` whether a task would
+    // find room on another worker.
     wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                  store_port& store, const document_codec& documents, task_runner& runner,
-                 const leader_record& leader, std::function<bool()> may_order);
+                 const leader_record& leader, std::function<bool()> may_order,
+                 std::function<bool(const task&)> may_relocate);
     ~wave_manager();
     wave_manager(const wave_manager&) = delete;
     wave_manager& operator=(const wave_manager&) = delete;
@@ -42,6 +44,7 @@
     enum class wave_phase { waiting, emptying, ordered, finished };
     struct wave_vm {
         wave_phase phase = wave_phase::waiting;
+        net::boot_time emptying_since{};
         net::boot_time ordered_at{};
         bool order_open = false; // an order has no answer yet
     };
@@ -59,7 +62,7 @@
     void empty_next(wave_progress& wave);
     void order_emptied(wave_progress& wave);
     void order_maintenance(wave_progress& wave, const std::string& vm);
-    void empty_worker(worker_slot& slot);
+    void empty_worker(worker_slot& slot, net::boot_time since);
     void write_status(wave_progress& wave);
     std::string encode_progress(const wave_progress& wave) const;
 
@@ -71,6 +74,7 @@
     task_runner& runner_;
     leader_record leader_;
     std::function<bool()> may_order_;
+    std::function<bool(const task&)> may_relocate_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     std::map<std::int64_t, wave_progress> waves_;
