--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -154,10 +154,11 @@
     ASSERT_EQ(fleet_.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
     fleet_.timers.run_for(4s);
     ASSERT_EQ(tasks_at_work(5), 5);
-    fleet_.workers.crash("v1");
+    const auto dead = fleet_.workers.worker_of(job_id + ".0.0.0");
+    fleet_.workers.crash(dead);
     fleet_.kill("a");
     fleet_.timers.run_for(4500ms);
-    fleet_.unlist_worker("v1");
+    fleet_.unlist_worker(dead);
     fleet_.timers.run_for(4500ms);
     EXPECT_EQ(tasks_at_work(5), 5);
     EXPECT_TRUE(fleet_.workers.violations().empty());
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -379,9 +379,17 @@
 
 bool fake_workers::runs(const std::string& task) const
 {
-    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-        return entry.second.up && entry.second.active.count(task) != 0;
-    });
+    return !worker_of(task).empty();
+}
+
+std::string fake_workers::worker_of(const std::string& task) const
+{
+    for (const auto& [id, worker] : workers_) {
+        if (worker.up && worker.active.count(task) != 0) {
+            return id;
+        }
+    }
+    return "";
 }
 
 } // namespace jl::jobs::testing
