--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -5,11 +5,10 @@
 #include <mutex>
 #include <string>
 
+#include <easylogging++.h>
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <easylogging++.h>
-
 INITIALIZE_EASYLOGGINGPP
 
 namespace jl {
--- a/src/bin/node_main.cpp
+++ b/src/bin/node_main.cpp
@@ -1,5 +1,5 @@
-// jl-node: the one process on each entry VM. Takes callers' requests, and decides for the fleet while
-// it leads.
+// jl-node: the one process on each entry VM. Takes callers' requests, and decides for the fleet
+// while it leads.
 
 #include <cstdlib>
 #include <exception>
--- a/src/decisions/job_order.h
+++ b/src/decisions/job_order.h
@@ -11,11 +11,11 @@
     std::size_t job = 0; // the caller's index
     int priority = 0;    // 0 is the most urgent
     bool long_running = false;
-    bool started = false;                          // some task has run
-    std::chrono::milliseconds time_left{0};        // until the objective; negative: missed
-    std::chrono::milliseconds late_time_left{0};   // until late completion earns nothing more
-    std::chrono::milliseconds chain{0};            // longest chain of work that is left
-    double core_seconds = 0;                       // work that is left
+    bool started = false;                        // some task has run
+    std::chrono::milliseconds time_left{0};      // until the objective; negative: missed
+    std::chrono::milliseconds late_time_left{0}; // until late completion earns nothing more
+    std::chrono::milliseconds chain{0};          // longest chain of work that is left
+    double core_seconds = 0;                     // work that is left
 };
 
 // The order in which jobs of one pool get their tasks started.
--- a/src/decisions/pool_sizing.cpp
+++ b/src/decisions/pool_sizing.cpp
@@ -10,8 +10,7 @@
 
 int least_vms(const pool_state& pool, const sizing_settings& settings)
 {
-    return pool.standby ? 0
-                        : std::max({pool.pinned_vms, pool.spread_vms, settings.least_vms});
+    return pool.standby ? 0 : std::max({pool.pinned_vms, pool.spread_vms, settings.least_vms});
 }
 
 int wanted_vms(const pool_state& pool, const sizing_settings& settings)
--- a/src/decisions/pool_sizing.h
+++ b/src/decisions/pool_sizing.h
@@ -8,10 +8,10 @@
 // A pool as the division of the VMs sees it.
 struct pool_state {
     std::string pool;
-    bool standby = false;    // VMs in it are powered off and cost nothing
-    int vms = 0;             // up or on their way into it
-    int pinned_vms = 0;      // that run long-running tasks
-    int spread_vms = 0;      // over which the tasks of some step have to be spread
+    bool standby = false; // VMs in it are powered off and cost nothing
+    int vms = 0;          // up or on their way into it
+    int pinned_vms = 0;   // that run long-running tasks
+    int spread_vms = 0;   // over which the tasks of some step have to be spread
     // Loads are in VMs that they fill, by the resource that is scarcest for each task.
     double wanted_load = 0;   // of tasks that run, or wait and could run now
     double pinned_load = 0;   // of these, long-running tasks
--- a/src/decisions/task_placement.cpp
+++ b/src/decisions/task_placement.cpp
@@ -15,9 +15,8 @@
 bool allowed(const task_demand& task, const worker_room& worker)
 {
     return (task.max_per_worker == 0 || worker.tasks_of_step < task.max_per_worker) &&
-           (task.required_label.empty() ||
-            std::find(worker.labels.begin(), worker.labels.end(), task.required_label) !=
-                worker.labels.end());
+           (task.required_label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                                     task.required_label) != worker.labels.end());
 }
 
 std::int64_t needed_millicores(const task_demand& task)
@@ -36,9 +35,9 @@
 double free_part(const task_demand& task, const worker_room& worker)
 {
     const auto part = [](std::int64_t free, std::int64_t needed) {
-        return needed <= 0 ? 1.0
-                           : std::clamp(static_cast<double>(free) / static_cast<double>(needed),
-                                        0.0, 1.0);
+        return needed <= 0
+                   ? 1.0
+                   : std::clamp(static_cast<double>(free) / static_cast<double>(needed), 0.0, 1.0);
     };
     return std::min(part(worker.free_millicores, needed_millicores(task)),
                     part(worker.free_memory_mb, task.memory_mb));
--- a/src/decisions/task_placement.h
+++ b/src/decisions/task_placement.h
@@ -18,9 +18,9 @@
     std::int64_t free_accelerators = 0;
     std::int64_t total_millicores = 0;
     std::int64_t total_memory_mb = 0;
-    int tasks_of_step = 0;  // tasks of the step in question that it runs
-    int serving_tasks = 0;  // tasks with a latency target
-    int filler_tasks = 0;   // tasks that use what others leave
+    int tasks_of_step = 0;    // tasks of the step in question that it runs
+    int serving_tasks = 0;    // tasks with a latency target
+    int filler_tasks = 0;     // tasks that use what others leave
     double failure_score = 0; // recent failures; 0: none
 };
 
@@ -46,8 +46,8 @@
 std::optional<std::size_t> choose_worker(const task_demand& task,
                                          const std::vector<worker_room>& workers);
 
-// Chooses the worker that is to be kept free for a task that none has room for; nothing if no worker
-// could ever run it. Returns an index into `workers`.
+// Chooses the worker that is to be kept free for a task that none has room for; nothing if no
+// worker could ever run it. Returns an index into `workers`.
 //
 // Load pattern: small tasks that end and are replaced at once never leave room for a large one.
 std::optional<std::size_t> choose_reservation(const task_demand& task,
--- a/src/jobs/advice_book.cpp
+++ b/src/jobs/advice_book.cpp
@@ -74,8 +74,7 @@
 }
 
 void advice_book::on_answer(const std::string& step, const std::vector<std::string>& asked,
-                            milliseconds validity, net::boot_time sent,
-                            const advice_result& result)
+                            milliseconds validity, net::boot_time sent, const advice_result& result)
 {
     const auto found = steps_.find(step);
     if (found == steps_.end()) {
--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -47,8 +47,15 @@
                                    vm_directory& directory, const wave_manager& waves,
                                    job_table& jobs, task_runner& runner, std::int64_t token,
                                    milliseconds move_time, std::function<bool()> may_order)
-    : timers_(timers), vm_port_(vms), directory_(directory), waves_(waves), jobs_(jobs),
-      runner_(runner), token_(token), move_time_(move_time), may_order_(std::move(may_order))
+    : timers_(timers),
+      vm_port_(vms),
+      directory_(directory),
+      waves_(waves),
+      jobs_(jobs),
+      runner_(runner),
+      token_(token),
+      move_time_(move_time),
+      may_order_(std::move(may_order))
 {
 }
 
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -85,10 +85,10 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     decisions::demand_forecast demand_;
-    std::map<std::string, vm_move> moves_;    // by VM
+    std::map<std::string, vm_move> moves_;                                           // by VM
     std::map<std::string, std::deque<std::pair<net::boot_time, int>>> recent_sizes_; // by pool
-    std::map<std::string, int> told_sizes_; // by pool
-    task_resources vm_capacity_; // of the largest VM
+    std::map<std::string, int> told_sizes_;                                          // by pool
+    task_resources vm_capacity_;                          // of the largest VM
     std::map<std::string, net::boot_time> refused_until_; // by VM
 };
 
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -24,8 +24,8 @@
 // Records of finished jobs are removed this long after the time that their state must be known.
 constexpr auto retention_slack = 20s;
 // Long enough to bridge a change of leaders: the last renewal may be one hold old, the former
-// leader's own lease takes two seconds to end, and the next one half a second to begin. Each task on
-// a worker that is lost waits for it to lapse, so it is no longer than that.
+// leader's own lease takes two seconds to end, and the next one half a second to begin. Each task
+// on a worker that is lost waits for it to lapse, so it is no longer than that.
 constexpr auto longest_lease = 4500ms;
 constexpr const char* own_prefix = "jl/";
 
@@ -50,8 +50,12 @@
 engine::engine(net::timer_service& timers, engine_ports ports, engine_settings settings,
                const leader_record& leader, std::function<bool()> may_act,
                std::function<void(const std::string&)> fenced)
-    : timers_(timers), ports_(ports), settings_(settings), leader_(leader),
-      may_act_(std::move(may_act)), fenced_(std::move(fenced))
+    : timers_(timers),
+      ports_(ports),
+      settings_(settings),
+      leader_(leader),
+      may_act_(std::move(may_act)),
+      fenced_(std::move(fenced))
 {
     record_writer::callbacks callbacks;
     callbacks.encode = [this](const std::string& key) { return encode_record(key); };
@@ -60,9 +64,9 @@
     };
     callbacks.batch_done = [this] { runner_->acknowledge_durable(); };
     callbacks.fenced = [this] { this->fenced("the store"); };
-    writer_ = std::make_unique<record_writer>(
-        timers_, *ports_.store, store_condition{leadership::leader_key, leader.token},
-        std::move(callbacks));
+    writer_ = std::make_unique<record_writer>(timers_, *ports_.store,
+                                              store_condition{leadership::leader_key, leader.token},
+                                              std::move(callbacks));
     runner_ = std::make_unique<task_runner>(timers_, *ports_.workers, jobs_,
                                             static_cast<task_events&>(*this),
                                             make_runner_settings(settings_, leader));
@@ -83,15 +87,14 @@
     }
     const auto may_order = [this] { return may_act_() && timers_.now() >= vm_orders_from_; };
     vms_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
-    waves_ = std::make_unique<wave_manager>(timers_, *ports_.vms, *vms_, *ports_.store,
-                                            *ports_.documents, *runner_, leader_, may_order,
-                                            [this](const task& target) {
-                                                return config_ && scheduler_->fits_elsewhere(
-                                                                      target, *config_);
-                                            });
-    capacity_ = std::make_unique<capacity_manager>(timers_, *ports_.vms, *vms_, *waves_, jobs_,
-                                                   *runner_, leader_.token, settings_.move_time,
-                                                   may_order);
+    waves_ = std::make_unique<wave_manager>(
+        timers_, *ports_.vms, *vms_, *ports_.store, *ports_.documents, *runner_, leader_, may_order,
+        [this](const task& target) {
+            return config_ && scheduler_->fits_elsewhere(target, *config_);
+        });
+    capacity_ =
+        std::make_unique<capacity_manager>(timers_, *ports_.vms, *vms_, *waves_, jobs_, *runner_,
+                                           leader_.token, settings_.move_time, may_order);
 }
 
 engine::~engine()
@@ -126,20 +129,21 @@
 
 void engine::load()
 {
-    ports_.store->list(own_prefix, [this, alive = alive_](const store_result<store_listing>& result) {
-        if (!*alive) {
-            return;
-        }
-        if (!result.value) {
-            timers_.call_after(load_retry_delay, [this, alive] {
-                if (*alive) {
-                    load();
-                }
-            });
-            return;
-        }
-        on_loaded(*result.value);
-    });
+    ports_.store->list(own_prefix,
+                       [this, alive = alive_](const store_result<store_listing>& result) {
+                           if (!*alive) {
+                               return;
+                           }
+                           if (!result.value) {
+                               timers_.call_after(load_retry_delay, [this, alive] {
+                                   if (*alive) {
+                                       load();
+                                   }
+                               });
+                               return;
+                           }
+                           on_loaded(*result.value);
+                       });
 }
 
 void engine::on_loaded(const store_listing& listing)
@@ -244,9 +248,9 @@
         if (const auto* const queue = config_->find_queue(target->spec.queue)) {
             extend_services(*target, queue->service);
             if (first) {
-                target->objective += queue->latency_objective +
-                                     std::chrono::duration_cast<milliseconds>(
-                                         longest_chain(target->spec) * queue->stretch);
+                target->objective +=
+                    queue->latency_objective + std::chrono::duration_cast<milliseconds>(
+                                                   longest_chain(target->spec) * queue->stretch);
             }
         }
     }
@@ -406,12 +410,17 @@
         }
         return;
     }
+    if (writer_->stalled()) {
+        // It would only wait for its deadline.
+        done(submit_outcome::unavailable);
+        return;
+    }
     const auto* const queue = config_->find_queue(spec.queue);
     auto& target = jobs_.insert(std::move(spec));
     target.accepted = timers_.wall_now();
-    target.objective = timers_.now() + queue->latency_objective +
-                       std::chrono::duration_cast<milliseconds>(longest_chain(target.spec) *
-                                                                queue->stretch);
+    target.objective =
+        timers_.now() + queue->latency_objective +
+        std::chrono::duration_cast<milliseconds>(longest_chain(target.spec) * queue->stretch);
     target.services = {queue->service};
     if (!target.spec.timed()) {
         begin_occurrence(target);
@@ -661,9 +670,8 @@
 
 bool engine::services_resolved(const job& target) const
 {
-    return std::all_of(target.services.begin(), target.services.end(), [&](const auto& service) {
-        return runner_->service_resolved(service);
-    });
+    return std::all_of(target.services.begin(), target.services.end(),
+                       [&](const auto& service) { return runner_->service_resolved(service); });
 }
 
 // Tasks of a former leader that no worker told of run nowhere, once all workers that might have run
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -134,9 +134,9 @@
     std::unique_ptr<watched_prefix> workers_;
     std::unique_ptr<watched_prefix> operators_;
     bool loaded_ = false;
-    bool unresolved_ = false; // some task of a former leader may run unknown to us
+    bool unresolved_ = false;         // some task of a former leader may run unknown to us
     net::boot_time vm_orders_from_{}; // orders of a former leader to VMs are over by then
-    bool ended_ = false;      // a newer leader was seen
+    bool ended_ = false;              // a newer leader was seen
 
     std::map<std::string, roster_entry> roster_;
     std::int64_t roster_version_ = 0;
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -1,9 +1,8 @@
-#include "jobs/engine.h"
-
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "jobs/engine.h"
 #include "jobs/testing/test_fleet.h"
 
 namespace jl::jobs {
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -60,8 +60,7 @@
             fleet_.timers.run_for(interval);
             EXPECT_GE(tasks_at_work(tasks), tasks - 1) << "after " << elapsed.count() << " ms";
             for (int index = 0; index < tasks; ++index) {
-                const bool runs =
-                    fleet_.workers.runs(task_name{job_id, 0, 0, index}.to_string());
+                const bool runs = fleet_.workers.runs(task_name{job_id, 0, 0, index}.to_string());
                 absent[index] = runs ? 0ms : absent[index] + interval;
                 longest = std::max(longest, absent[index]);
             }
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -210,7 +210,8 @@
             if (!address) {
                 return std::nullopt;
             }
-            roster.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(), *address});
+            roster.push_back(
+                {row.at(0).get<std::string>(), row.at(1).get<std::string>(), *address});
         }
         return roster;
     }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -220,16 +220,15 @@
     for (std::size_t index = 0; index < jobs.size(); ++index) {
         const auto& target = *jobs[index];
         const auto* const queue = config.find_queue(target.spec.queue);
-        const auto objective = queue->latency_objective +
-                               std::chrono::duration_cast<milliseconds>(
-                                   longest_chain(target.spec) * queue->stretch);
+        const auto objective =
+            queue->latency_objective +
+            std::chrono::duration_cast<milliseconds>(longest_chain(target.spec) * queue->stretch);
         decisions::job_demand demand;
         demand.job = index;
         demand.priority = queue->priority;
         demand.long_running = target.spec.steps.front().long_running;
         demand.started = target.any_started;
-        demand.time_left =
-            std::chrono::duration_cast<milliseconds>(target.objective - pool.now);
+        demand.time_left = std::chrono::duration_cast<milliseconds>(target.objective - pool.now);
         demand.late_time_left = demand.time_left + (late_objectives - 1) * objective;
         demand.chain = remaining_chain(target);
         demand.core_seconds = remaining_core_seconds(target);
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -11,7 +11,8 @@
 
 enum class submit_outcome {
     accepted,
-    overloaded, // not accepted; never runs
+    overloaded,  // not accepted; never runs
+    unavailable, // not accepted, since the store does not answer; never runs
     unknown,    // may have been accepted; the same job may be submitted again
 };
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -39,13 +39,13 @@
     // Runs that ended as failed. Their ends may become known in any order, and more than once.
     std::set<std::int64_t> failed_runs;
     std::string checkpoint;
-    std::string worker;             // while starting, running or stopping
-    std::string last_failed_worker; // avoided for the next run
-    int percent = 0;                // progress, or 100 while a long-running task is at work
-    double load = 0;                // see running_task
-    int pace = 100;                 // percent of its speed that we allow
-    net::boot_time changed{};       // when `phase` or `percent` changed last
-    net::boot_time not_before{};    // no start before
+    std::string worker;               // while starting, running or stopping
+    std::string last_failed_worker;   // avoided for the next run
+    int percent = 0;                  // progress, or 100 while a long-running task is at work
+    double load = 0;                  // see running_task
+    int pace = 100;                   // percent of its speed that we allow
+    net::boot_time changed{};         // when `phase` or `percent` changed last
+    net::boot_time not_before{};      // no start before
     net::boot_time order_confirmed{}; // when the worker accepted the last order; epoch: not yet
     int order_attempts = 0;           // of the last order
     std::string ticket;               // the advisor's, for the last start
@@ -78,8 +78,8 @@
 
 struct job {
     job_spec spec;
-    wall_time accepted{};        // when the first request for it arrived
-    net::boot_time objective{};  // time by which its completion earns full credit
+    wall_time accepted{};              // when the first request for it arrived
+    net::boot_time objective{};        // time by which its completion earns full credit
     std::vector<std::string> services; // pools on which its tasks may have run
     job_state state = job_state::queued;
     std::list<occurrence_progress> occurrences; // in progress, in order
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -23,9 +23,8 @@
 
 std::string encode_leader(const leader_record& record)
 {
-    return nlohmann::json{{"node", record.node},
-                          {"address", record.address.to_string()},
-                          {"term", record.term}}
+    return nlohmann::json{
+        {"node", record.node}, {"address", record.address.to_string()}, {"term", record.term}}
         .dump();
 }
 
@@ -45,7 +44,9 @@
 
 leadership::leadership(net::timer_service& timers, store_port& store, leadership_settings settings,
                        callbacks callbacks)
-    : timers_(timers), store_(store), settings_(std::move(settings)),
+    : timers_(timers),
+      store_(store),
+      settings_(std::move(settings)),
       callbacks_(std::move(callbacks))
 {
 }
@@ -260,22 +261,22 @@
     }
     const auto asked = timers_.now();
     const auto lease = lease_.id;
-    store_.renew_lease(lease, [this, asked, lease,
-                               alive = alive_](const store_result<milliseconds>& result) {
-        if (!*alive || !leading_ || lease_.id != lease) {
-            return;
-        }
-        if (result.value) {
-            valid_until_ = std::max(valid_until_, asked + *result.value);
-            schedule_renewal(lease_.ttl / renewals_per_ttl);
-            return;
-        }
-        if (result.error == store_error::lease_ended) {
-            step_down("the lease has ended");
-            return;
-        }
-        schedule_renewal(renewal_retry_delay);
-    });
+    store_.renew_lease(
+        lease, [this, asked, lease, alive = alive_](const store_result<milliseconds>& result) {
+            if (!*alive || !leading_ || lease_.id != lease) {
+                return;
+            }
+            if (result.value) {
+                valid_until_ = std::max(valid_until_, asked + *result.value);
+                schedule_renewal(lease_.ttl / renewals_per_ttl);
+                return;
+            }
+            if (result.error == store_error::lease_ended) {
+                step_down("the lease has ended");
+                return;
+            }
+            schedule_renewal(renewal_retry_delay);
+        });
 }
 
 void leadership::check_expiry()
--- a/src/jobs/leadership.h
+++ b/src/jobs/leadership.h
@@ -16,9 +16,9 @@
 // The process that decides for the fleet.
 struct leader_record {
     std::string node;
-    endpoint address;        // where other processes send callers' requests
-    std::int64_t term = 0;   // counts elections
-    std::int64_t token = 0;  // fencing token: store revision of the election, rises with each one
+    endpoint address;       // where other processes send callers' requests
+    std::int64_t term = 0;  // counts elections
+    std::int64_t token = 0; // fencing token: store revision of the election, rises with each one
 
     bool operator==(const leader_record& other) const
     {
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -23,20 +23,20 @@
 struct step_spec {
     int count = 0;
     task_resources request;
-    milliseconds estimate{0};        // rough duration of one task
-    std::vector<int> after;          // earlier steps whose tasks must all be done
-    bool checkpointing = false;      // tasks save their progress
-    bool gang = false;               // tasks work only while all of them run
-    bool same_rack = false;          // tasks are slower when spread over racks
-    std::string required_label;      // empty: any worker
-    std::string preferred_rack;      // rack of the data; empty: none
-    int max_per_worker = 0;          // 0: no limit
-    bool speculative = false;        // copies may run at the same time
-    bool long_running = false;       // runs until the job is cancelled
-    std::string image;               // tasks of one image behave alike
-    milliseconds latency_target{0};  // of tasks that serve users; 0: none
-    bool filler = false;             // uses only processors that other tasks leave unused
-    int max_unavailable = 0;         // tasks that may be away through our own actions
+    milliseconds estimate{0};       // rough duration of one task
+    std::vector<int> after;         // earlier steps whose tasks must all be done
+    bool checkpointing = false;     // tasks save their progress
+    bool gang = false;              // tasks work only while all of them run
+    bool same_rack = false;         // tasks are slower when spread over racks
+    std::string required_label;     // empty: any worker
+    std::string preferred_rack;     // rack of the data; empty: none
+    int max_per_worker = 0;         // 0: no limit
+    bool speculative = false;       // copies may run at the same time
+    bool long_running = false;      // runs until the job is cancelled
+    std::string image;              // tasks of one image behave alike
+    milliseconds latency_target{0}; // of tasks that serve users; 0: none
+    bool filler = false;            // uses only processors that other tasks leave unused
+    int max_unavailable = 0;        // tasks that may be away through our own actions
 };
 
 // A job as submitted. Immutable.
@@ -45,7 +45,7 @@
     std::string queue;
     std::string payload; // handed to every task unchanged
     std::vector<step_spec> steps;
-    int occurrences = 0; // 0: runs once, at once
+    int occurrences = 0;       // 0: runs once, at once
     milliseconds first_run{0}; // Unix time of occurrence 0
     milliseconds interval{0};
 
@@ -64,13 +64,13 @@
     int max_attempts = 1;
     double stretch = 1.0; // objective in multiples of the longest chain of tasks
     milliseconds latency_objective{0};
-    bool needs_advice = false;         // an advisor names the workers that may run a step
+    bool needs_advice = false; // an advisor names the workers that may run a step
     milliseconds ticket_validity{0};
 };
 
 struct service_config {
     std::string name;
-    bool standby = false;         // VMs in this pool are powered off and not paid for
+    bool standby = false;           // VMs in this pool are powered off and not paid for
     bool workers_check_room = true; // workers reject what does not fit
 };
 
--- a/src/jobs/record_writer.cpp
+++ b/src/jobs/record_writer.cpp
@@ -119,9 +119,9 @@
     }
     if (!result.value) {
         if (failures_++ == 0) {
-            log_event(log_level::warning, "store.write_failed",
-                      {{"reason", to_string(result.error)},
-                       {"records", std::to_string(batch.size())}});
+            log_event(
+                log_level::warning, "store.write_failed",
+                {{"reason", to_string(result.error)}, {"records", std::to_string(batch.size())}});
         }
         for (const auto& record : batch) {
             dirty_.insert(record.key);
--- a/src/jobs/request_router.cpp
+++ b/src/jobs/request_router.cpp
@@ -20,6 +20,9 @@
 constexpr auto retry_delay = 100ms;
 // A caller without an answer by then is told to come back rather than held.
 constexpr auto longest_wait_for_leader = 1500ms;
+// A submission waits less: its job could have been done elsewhere in that time. A leader that hands
+// over is replaced within this time, one that dies is not.
+constexpr auto longest_wait_of_submission = 350ms;
 // Time that the last answer needs to reach the caller.
 constexpr auto answer_margin = 150ms;
 // After failing for this long, this process should get no new callers.
@@ -86,7 +89,10 @@
         return;
     }
     const auto now = loop_.now();
-    if (now >= routed->deadline || now >= routed->received + longest_wait_for_leader) {
+    const auto patience = routed->request.method == "POST"
+                              ? milliseconds(longest_wait_of_submission)
+                              : milliseconds(longest_wait_for_leader);
+    if (now >= routed->deadline || now >= routed->received + patience) {
         give_up(routed);
         return;
     }
@@ -99,8 +105,8 @@
         forward(routed, *leader);
         return;
     }
-    const bool taken =
-        hooks_.answer_here(routed->request, [this, routed, alive = alive_](const http::response& answer) {
+    const bool taken = hooks_.answer_here(
+        routed->request, [this, routed, alive = alive_](const http::response& answer) {
             if (*alive) {
                 on_answer(routed, answer);
             }
--- a/src/jobs/request_router.h
+++ b/src/jobs/request_router.h
@@ -26,8 +26,8 @@
         // Answers the request on this process; false if this process does not lead (yet).
         std::function<bool(const http::request&, const net::responder&)> answer_here;
         std::function<std::chrono::milliseconds(const http::request&)> deadline;
-        std::function<http::response()> refusal;          // nothing was carried out
-        std::function<http::response()> unknown;          // it may have been carried out
+        std::function<http::response()> refusal;                // nothing was carried out
+        std::function<http::response()> unknown;                // it may have been carried out
         std::function<bool(const http::response&)> leaves_open; // the answer is `unknown()`
     };
 
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -123,8 +123,8 @@
 task* task_runner::current(const task_name& name, std::int64_t run, const std::string& worker)
 {
     task* const found = jobs_.find_task(name);
-    const bool same = found != nullptr && found->on_worker() && found->run == run &&
-                      found->worker == worker;
+    const bool same =
+        found != nullptr && found->on_worker() && found->run == run && found->worker == worker;
     return same ? found : nullptr;
 }
 
@@ -270,44 +270,44 @@
     stop_order order;
     order.task = name;
     order.run = run;
-    slot->session->stop(order, order_timeout, [this, name, run,
-                                               worker](const order_result& result) {
-        if (result.status == order_status::fenced) {
-            events_.fenced(worker);
-            return;
-        }
-        task* const stopped = current(name, run, worker);
-        if (stopped == nullptr) {
-            return;
-        }
-        const bool settled = result.status == order_status::accepted ||
-                             result.status == order_status::superseded ||
-                             result.status == order_status::rejected;
-        if (settled) {
-            stopped->order_confirmed = timers_.now();
-        }
-        const auto delay = settled ? settings_.stop_time + stop_slack : milliseconds(stop_retry_delay);
-        timers_.call_after(delay, [this, alive = alive_, settled, name, run, worker] {
-            if (!*alive || current(name, run, worker) == nullptr) {
+    slot->session->stop(
+        order, order_timeout, [this, name, run, worker](const order_result& result) {
+            if (result.status == order_status::fenced) {
+                events_.fenced(worker);
                 return;
             }
-            if (settled) {
-                find_slot(worker)->session->look();
+            task* const stopped = current(name, run, worker);
+            if (stopped == nullptr) {
+                return;
             }
-            else {
-                send_stop(name, run, worker);
+            const bool settled = result.status == order_status::accepted ||
+                                 result.status == order_status::superseded ||
+                                 result.status == order_status::rejected;
+            if (settled) {
+                stopped->order_confirmed = timers_.now();
             }
+            const auto delay =
+                settled ? settings_.stop_time + stop_slack : milliseconds(stop_retry_delay);
+            timers_.call_after(delay, [this, alive = alive_, settled, name, run, worker] {
+                if (!*alive || current(name, run, worker) == nullptr) {
+                    return;
+                }
+                if (settled) {
+                    find_slot(worker)->session->look();
+                }
+                else {
+                    send_stop(name, run, worker);
+                }
+            });
         });
-    });
 }
 
 // Stops a run that is not the current one of its task.
 void task_runner::stop_stray(worker_slot& slot, const task_name& name, std::int64_t run)
 {
-    log_event(log_level::warning, "task.stray_run",
-              {{"task", name.to_string()},
-               {"run", std::to_string(run)},
-               {"worker", slot.info().id}});
+    log_event(
+        log_level::warning, "task.stray_run",
+        {{"task", name.to_string()}, {"run", std::to_string(run)}, {"worker", slot.info().id}});
     stop_order order;
     order.task = name;
     order.run = run;
@@ -428,8 +428,8 @@
     if (target == nullptr || target->phase == task_phase::done) {
         return 0;
     }
-    const bool ours = target->on_worker() && target->worker == slot.info().id &&
-                      target->run == end.run;
+    const bool ours =
+        target->on_worker() && target->worker == slot.info().id && target->run == end.run;
     const bool former = target->phase == task_phase::unresolved;
     if (!ours && !former) {
         return 0; // an earlier run, replaced after its lease had lapsed
@@ -543,10 +543,9 @@
 {
     const auto now = timers_.now();
     const std::chrono::duration<double> age = now - slot.failure_score_at;
-    const double decayed =
-        age.count() > failure_half_life_s * 10
-            ? 0
-            : slot.failure_score / (1.0 + age.count() / failure_half_life_s);
+    const double decayed = age.count() > failure_half_life_s * 10
+                               ? 0
+                               : slot.failure_score / (1.0 + age.count() / failure_half_life_s);
     slot.failure_score = decayed + 1;
     slot.failure_score_at = now;
 }
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -112,9 +112,8 @@
 
 int fake_vms::vms_in(const std::string& pool) const
 {
-    return static_cast<int>(std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
-        return entry.second.pool == pool;
-    }));
+    return static_cast<int>(std::count_if(
+        vms_.begin(), vms_.end(), [&](const auto& entry) { return entry.second.pool == pool; }));
 }
 
 } // namespace jl::jobs::testing
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -33,15 +33,17 @@
     void start(const start_order& order, milliseconds timeout,
                std::function<void(const order_result&)> done) override
     {
-        deliver([&fleet = fleet_, worker = worker_, order] { return fleet.take_start(worker, order); }, timeout,
-                std::move(done));
+        deliver(
+            [&fleet = fleet_, worker = worker_, order] { return fleet.take_start(worker, order); },
+            timeout, std::move(done));
     }
 
     void stop(const stop_order& order, milliseconds timeout,
               std::function<void(const order_result&)> done) override
     {
-        deliver([&fleet = fleet_, worker = worker_, order] { return fleet.take_stop(worker, order); }, timeout,
-                std::move(done));
+        deliver(
+            [&fleet = fleet_, worker = worker_, order] { return fleet.take_stop(worker, order); },
+            timeout, std::move(done));
     }
 
     void pace(const pace_order&, milliseconds timeout,
@@ -86,9 +88,9 @@
                 const auto report = fleet.lists(fleet.state(id), order);
                 timers.call_after(latency, [done, report] { done(report); });
             };
-            const bool has_new = std::any_of(
-                worker.ended.begin(), worker.ended.end(),
-                [&](const auto& end) { return end.number > order.last_seen_end; });
+            const bool has_new =
+                std::any_of(worker.ended.begin(), worker.ended.end(),
+                            [&](const auto& end) { return end.number > order.last_seen_end; });
             if (has_new || order.wait == 0ms) {
                 answer();
                 return;
@@ -201,8 +203,7 @@
     const auto ends = timers_.now() + (limited - clock(worker));
     if (ends > worker.lease_ends) {
         worker.lease_ends = ends;
-        timers_.call_after(ends - timers_.now(),
-                           [this, id = worker.info.id] { check_lease(id); });
+        timers_.call_after(ends - timers_.now(), [this, id = worker.info.id] { check_lease(id); });
     }
 }
 
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -58,7 +58,10 @@
     bool runs(const std::string& task) const;
     // The worker that runs the task; empty if none does.
     std::string worker_of(const std::string& task) const;
-    const std::map<std::string, std::vector<std::int64_t>>& runs_by_task() const { return started_; }
+    const std::map<std::string, std::vector<std::int64_t>>& runs_by_task() const
+    {
+        return started_;
+    }
     std::size_t rejected_for_room() const { return rejected_for_room_; }
     std::size_t holds() const { return holds_; }
 
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -50,8 +50,8 @@
 // One process: stands for election and runs the engine while it leads.
 class test_node {
 public:
-    test_node(net::timer_service& timers, fake_store& store, fake_workers& workers,
-              fake_vms& vms, const test_documents& documents, const std::string& name);
+    test_node(net::timer_service& timers, fake_store& store, fake_workers& workers, fake_vms& vms,
+              const test_documents& documents, const std::string& name);
     ~test_node();
     test_node(const test_node&) = delete;
     test_node& operator=(const test_node&) = delete;
--- a/src/jobs/watched_prefix.cpp
+++ b/src/jobs/watched_prefix.cpp
@@ -18,7 +18,10 @@
 
 watched_prefix::watched_prefix(net::timer_service& timers, store_port& store, std::string prefix,
                                milliseconds resync_period, callbacks callbacks)
-    : timers_(timers), store_(store), prefix_(std::move(prefix)), resync_period_(resync_period),
+    : timers_(timers),
+      store_(store),
+      prefix_(std::move(prefix)),
+      resync_period_(resync_period),
       callbacks_(std::move(callbacks))
 {
     resync();
@@ -44,8 +47,8 @@
         if (!*alive) {
             return;
         }
-        resync_timer_ = timers_.call_after(result.value ? resync_period_ : milliseconds(retry_delay),
-                                           [this] { resync(); });
+        resync_timer_ = timers_.call_after(
+            result.value ? resync_period_ : milliseconds(retry_delay), [this] { resync(); });
     });
 }
 
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -27,8 +27,14 @@
                            store_port& store, const document_codec& documents, task_runner& runner,
                            const leader_record& leader, std::function<bool()> may_order,
                            std::function<bool(const task&)> may_relocate)
-    : timers_(timers), vm_port_(vms), directory_(directory), store_(store), documents_(documents),
-      runner_(runner), leader_(leader), may_order_(std::move(may_order)),
+    : timers_(timers),
+      vm_port_(vms),
+      directory_(directory),
+      store_(store),
+      documents_(documents),
+      runner_(runner),
+      leader_(leader),
+      may_order_(std::move(may_order)),
       may_relocate_(std::move(may_relocate))
 {
 }
@@ -111,8 +117,9 @@
     bool all_finished = true;
     for (auto& [name, vm] : wave.vms) {
         const auto* const listed = directory_.find(name);
-        if (vm.phase == wave_phase::ordered && !vm.order_open && directory_.listed_at() > vm.ordered_at &&
-            listed != nullptr && listed->state == vm_state::up) {
+        if (vm.phase == wave_phase::ordered && !vm.order_open &&
+            directory_.listed_at() > vm.ordered_at && listed != nullptr &&
+            listed->state == vm_state::up) {
             vm.phase = wave_phase::finished;
             wave.status_written = false; // the record names it
         }
@@ -124,8 +131,7 @@
     if (all_finished) {
         wave.completed = true;
         wave.status_written = false;
-        log_event(log_level::info, "wave.completed",
-                  {{"wave", std::to_string(wave.request.wave)}});
+        log_event(log_level::info, "wave.completed", {{"wave", std::to_string(wave.request.wave)}});
     }
 }
 
@@ -138,8 +144,7 @@
             ++engaged;
         }
         const auto* const listed = directory_.find(name);
-        if (vm.phase != wave_phase::waiting || listed == nullptr ||
-            listed->state != vm_state::up) {
+        if (vm.phase != wave_phase::waiting || listed == nullptr || listed->state != vm_state::up) {
             continue;
         }
         auto* const slot = directory_.slot_of(name);
@@ -190,8 +195,7 @@
     int down = 0;
     for (const auto& [name, vm] : wave.vms) {
         const auto* const listed = directory_.find(name);
-        const bool in_maintenance =
-            listed != nullptr && listed->state == vm_state::maintenance;
+        const bool in_maintenance = listed != nullptr && listed->state == vm_state::maintenance;
         if (vm.phase == wave_phase::ordered || in_maintenance) {
             ++down;
         }
@@ -224,34 +228,31 @@
     vm.ordered_at = timers_.now();
     vm.order_open = true;
     const auto number = wave.request.wave;
-    vm_port_.maintain(name, number, leader_.token,
-                      [this, number, name, alive = alive_](vm_order_status status) {
-                          if (!*alive) {
-                              return;
-                          }
-                          log_event(log_level::info, "wave.ordered",
-                                    {{"wave", std::to_string(number)},
-                                     {"vm", name},
-                                     {"outcome", to_string(status)}});
-                          auto& vm = waves_[number].vms[name];
-                          if (status == vm_order_status::accepted) {
-                              vm.order_open = false;
-                              vm.ordered_at = timers_.now();
-                              if (auto* const slot = directory_.slot_of(name)) {
-                                  runner_.worker_ended(*slot);
-                              }
-                          }
-                          else if (status == vm_order_status::busy ||
-                                   status == vm_order_status::throttled) {
-                              vm.phase = wave_phase::emptying;
-                              vm.order_open = false;
-                          }
-                          else if (status == vm_order_status::wrong_wave ||
-                                   status == vm_order_status::rejected) {
-                              vm.phase = wave_phase::finished;
-                              vm.order_open = false;
-                          }
-                      });
+    vm_port_.maintain(
+        name, number, leader_.token, [this, number, name, alive = alive_](vm_order_status status) {
+            if (!*alive) {
+                return;
+            }
+            log_event(
+                log_level::info, "wave.ordered",
+                {{"wave", std::to_string(number)}, {"vm", name}, {"outcome", to_string(status)}});
+            auto& vm = waves_[number].vms[name];
+            if (status == vm_order_status::accepted) {
+                vm.order_open = false;
+                vm.ordered_at = timers_.now();
+                if (auto* const slot = directory_.slot_of(name)) {
+                    runner_.worker_ended(*slot);
+                }
+            }
+            else if (status == vm_order_status::busy || status == vm_order_status::throttled) {
+                vm.phase = wave_phase::emptying;
+                vm.order_open = false;
+            }
+            else if (status == vm_order_status::wrong_wave || status == vm_order_status::rejected) {
+                vm.phase = wave_phase::finished;
+                vm.order_open = false;
+            }
+        });
 }
 
 std::string wave_manager::encode_progress(const wave_progress& wave) const
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -35,8 +35,13 @@
 worker_session::worker_session(net::timer_service& timers, session_listener& listener,
                                std::unique_ptr<worker_port> port, listed_worker info,
                                std::int64_t token, session_settings settings)
-    : timers_(timers), listener_(listener), port_(std::move(port)), info_(std::move(info)),
-      token_(token), settings_(settings), born_(info_.born),
+    : timers_(timers),
+      listener_(listener),
+      port_(std::move(port)),
+      info_(std::move(info)),
+      token_(token),
+      settings_(settings),
+      born_(info_.born),
       lease_bound_(timers.now() + on_our_clock(settings.former_lease) + lapse_slack)
 {
     check_lapse();
@@ -299,11 +304,12 @@
                           std::function<void(const order_result&)> done)
 {
     order.fencing_token = token_;
-    port_->pace(order, timeout, [alive = alive_, done = std::move(done)](const order_result& result) {
-        if (*alive) {
-            done(result);
-        }
-    });
+    port_->pace(order, timeout,
+                [alive = alive_, done = std::move(done)](const order_result& result) {
+                    if (*alive) {
+                        done(result);
+                    }
+                });
 }
 
 } // namespace jl::jobs
--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -92,7 +92,8 @@
 TEST_F(async_http, refused_connection_is_reported_as_not_sent)
 {
     serve([](const http::request&, const responder&) {});
-    client_ = std::make_unique<async_client>(loop_, endpoint{"127.0.0.1", 1}, async_client_limits{});
+    client_ =
+        std::make_unique<async_client>(loop_, endpoint{"127.0.0.1", 1}, async_client_limits{});
     send("/");
     run_until(1);
     ASSERT_EQ(results_.size(), 1U);
--- a/src/net/async_server.h
+++ b/src/net/async_server.h
@@ -15,7 +15,8 @@
     std::size_t max_connections = 1500;
     std::size_t max_head_bytes = 16U << 10U;
     std::size_t max_body_bytes = 256U << 10U;
-    std::chrono::milliseconds idle_timeout{15000}; // also bounds the time a request may take to arrive
+    std::chrono::milliseconds idle_timeout{
+        15000}; // also bounds the time a request may take to arrive
 };
 
 // Sends the answer to one request; may be called later, once. A call after the connection has
--- a/src/net/unique_fd.h
+++ b/src/net/unique_fd.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <unistd.h>
 #include <utility>
 
+#include <unistd.h>
+
 namespace jl::net {
 
 // Owns a file descriptor and closes it.
