--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -233,6 +233,7 @@
     }
     std::sort(found.begin(), found.end());
     std::vector<std::string> names;
+    names.reserve(found.size());
     for (auto& entry : found) {
         names.push_back(std::move(entry.second));
     }
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -62,13 +62,16 @@
     callbacks.durable = [this](const std::string& key, std::int64_t version) {
         on_durable(key, version);
     };
+    callbacks.write_failed = [this](store_error reason) {
+        ports_.metrics->store_write_failed(reason);
+    };
     callbacks.batch_done = [this] { runner_->acknowledge_durable(); };
     callbacks.fenced = [this] { this->fenced("the store"); };
     writer_ = std::make_unique<record_writer>(timers_, *ports_.store,
                                               store_condition{leadership::leader_key, leader.token},
                                               std::move(callbacks));
     runner_ = std::make_unique<task_runner>(timers_, *ports_.workers, jobs_,
-                                            static_cast<task_events&>(*this),
+                                            static_cast<task_events&>(*this), *ports_.metrics,
                                             make_runner_settings(settings_, leader));
     if (ports_.advisor != nullptr) {
         advice_ = std::make_unique<advice_book>(timers_, *ports_.advisor, [this] { tick_soon(); });
@@ -370,7 +373,7 @@
             log_event(log_level::info, "job.state",
                       {{"job", target.spec.id},
                        {"queue", target.spec.queue},
-                       {"state", std::to_string(static_cast<int>(target.state))}});
+                       {"state", to_string(target.state)}});
         }
         target.durable_state = target.state;
         if (!target.waiters.empty()) {
@@ -398,7 +401,9 @@
 
 void engine::submit(job_spec spec, std::function<void(submit_outcome)> done)
 {
-    const auto answer = [done](bool durable) {
+    const auto answer = [this, done, queue = spec.queue, received = timers_.now()](bool durable) {
+        ports_.metrics->submission(queue, durable ? "accepted" : "unknown",
+                                   timers_.now() - received);
         done(durable ? submit_outcome::accepted : submit_outcome::unknown);
     };
     if (auto* const known = jobs_.find(spec.id)) {
@@ -406,12 +411,13 @@
             done(submit_outcome::accepted);
         }
         else {
-            known->waiters.push_back(answer);
+            known->waiters.emplace_back(answer);
         }
         return;
     }
     if (writer_->stalled()) {
         // It would only wait for its deadline.
+        ports_.metrics->submission(spec.queue, "unavailable", 0ns);
         done(submit_outcome::unavailable);
         return;
     }
@@ -425,7 +431,7 @@
     if (!target.spec.timed()) {
         begin_occurrence(target);
     }
-    target.waiters.push_back(answer);
+    target.waiters.emplace_back(answer);
     if (capacity_) {
         capacity_->note_arrival(queue->service, target);
     }
@@ -465,7 +471,7 @@
         done(cancel_outcome::cancelled);
         return;
     }
-    target->waiters.push_back([done = std::move(done)](bool durable) {
+    target->waiters.emplace_back([done = std::move(done)](bool durable) {
         done(durable ? cancel_outcome::cancelled : cancel_outcome::unknown);
     });
 }
@@ -610,6 +616,7 @@
     }
     target.state = state;
     target.finished_at = timers_.now();
+    ports_.metrics->job_finished(target.spec.queue, state, timers_.wall_now() - target.accepted);
     record_change(target);
 }
 
@@ -709,6 +716,7 @@
         return;
     }
     retire_finished();
+    ports_.metrics->active_jobs(jobs_.active().size(), runner_->slots().size());
     if (ready()) {
         relocate_from_draining();
         control_pace();
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/advice_book.h"
+#include "jobs/job_metrics.h"
 #include "jobs/job_record.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/job_service.h"
@@ -35,13 +36,14 @@
     milliseconds move_time{1500};         // of a VM to another pool
 };
 
-// The ports that the engine uses; vms and advisor may be null. All must outlive the engine.
+// What the engine uses; vms and advisor may be null. All must outlive the engine.
 struct engine_ports {
     store_port* store = nullptr;
     worker_connector* workers = nullptr;
     vm_port* vms = nullptr;
     advice_port* advisor = nullptr;
     const document_codec* documents = nullptr;
+    job_metrics* metrics = nullptr;
 };
 
 // The leader's work: accepts jobs, runs their tasks on the workers, keeps the records. It begins
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -22,13 +22,13 @@
 protected:
     void add_vms(int pool, int standby)
     {
-        fleet_.documents.config.services = {{"rounds", false, true}, {"spare", true, true}};
-        fleet_.vms.standby_pool = "spare";
+        fleet.documents.config.services = {{"rounds", false, true}, {"spare", true, true}};
+        fleet.vms.standby_pool = "spare";
         for (int index = 0; index < pool; ++index) {
-            fleet_.vms.add("m" + std::to_string(index), "rounds");
+            fleet.vms.add("m" + std::to_string(index), "rounds");
         }
         for (int index = 0; index < standby; ++index) {
-            fleet_.vms.add("s" + std::to_string(index), "spare");
+            fleet.vms.add("s" + std::to_string(index), "spare");
         }
     }
 
@@ -45,7 +45,7 @@
     {
         int count = 0;
         for (int index = 0; index < tasks; ++index) {
-            count += fleet_.workers.runs(task_name{job_id, 0, 0, index}.to_string()) ? 1 : 0;
+            count += fleet.workers.runs(task_name{job_id, 0, 0, index}.to_string()) ? 1 : 0;
         }
         return count;
     }
@@ -57,10 +57,10 @@
         std::map<int, std::chrono::milliseconds> absent;
         std::chrono::milliseconds longest{0};
         for (auto elapsed = 0ms; elapsed < span; elapsed += interval) {
-            fleet_.timers.run_for(interval);
+            fleet.timers.run_for(interval);
             EXPECT_GE(tasks_at_work(tasks), tasks - 1) << "after " << elapsed.count() << " ms";
             for (int index = 0; index < tasks; ++index) {
-                const bool runs = fleet_.workers.runs(task_name{job_id, 0, 0, index}.to_string());
+                const bool runs = fleet.workers.runs(task_name{job_id, 0, 0, index}.to_string());
                 absent[index] = runs ? 0ms : absent[index] + interval;
                 longest = std::max(longest, absent[index]);
             }
@@ -80,63 +80,63 @@
         return wave;
     }
 
-    test_fleet fleet_{0};
+    test_fleet fleet{0};
 };
 
 // Long-running tasks were stopped for a wave while no other worker could take them, and then did
 // not run for 20 s (gerddi-jasmine, quiet-1 --seed 284773370352).
 TEST_F(fleet_changes, wave_keeps_long_running_tasks_at_work)
 {
-    fleet_.workers.fallback.duration = 600s;
+    fleet.workers.fallback.duration = 600s;
     add_vms(5, 4);
-    fleet_.add_node("a");
-    ASSERT_TRUE(fleet_.await_leader());
-    fleet_.timers.run_for(500ms);
-    ASSERT_EQ(fleet_.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
-    fleet_.timers.run_for(4s);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    ASSERT_EQ(fleet.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(4s);
     ASSERT_EQ(tasks_at_work(5), 5);
-    fleet_.request_wave(wave_of(5, 2));
+    fleet.request_wave(wave_of(5, 2));
     EXPECT_LE(longest_absence(30s, 5), 1500ms);
-    EXPECT_EQ(fleet_.vms.maintained(), 5);
-    EXPECT_LE(fleet_.vms.most_in_maintenance(), 2);
-    const auto* const status = fleet_.store.find("status/1");
+    EXPECT_EQ(fleet.vms.maintained(), 5);
+    EXPECT_LE(fleet.vms.most_in_maintenance(), 2);
+    const auto* const status = fleet.store.find("status/1");
     ASSERT_NE(status, nullptr);
     EXPECT_EQ(status->value, "completed");
-    EXPECT_TRUE(fleet_.workers.violations().empty());
+    EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
 // Without a VM to spare, each task pauses while its own VM is maintained, one at a time.
 TEST_F(fleet_changes, wave_without_spare_vms_pauses_one_task_at_a_time)
 {
-    fleet_.workers.fallback.duration = 600s;
+    fleet.workers.fallback.duration = 600s;
     add_vms(5, 0);
-    fleet_.add_node("a");
-    ASSERT_TRUE(fleet_.await_leader());
-    fleet_.timers.run_for(500ms);
-    ASSERT_EQ(fleet_.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
-    fleet_.timers.run_for(4s);
-    fleet_.request_wave(wave_of(5, 2));
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    ASSERT_EQ(fleet.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(4s);
+    fleet.request_wave(wave_of(5, 2));
     EXPECT_LE(longest_absence(50s, 5), 3000ms);
-    EXPECT_EQ(fleet_.vms.maintained(), 5);
-    EXPECT_EQ(fleet_.store.find("status/1")->value, "completed");
+    EXPECT_EQ(fleet.vms.maintained(), 5);
+    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
 }
 
 // A wave goes on under a new leader, and VMs that are done are not taken down again.
 TEST_F(fleet_changes, wave_goes_on_under_a_new_leader)
 {
     add_vms(6, 0);
-    fleet_.add_node("a");
-    ASSERT_TRUE(fleet_.await_leader());
-    fleet_.add_node("b");
-    fleet_.timers.run_for(500ms);
-    fleet_.request_wave(wave_of(6, 1));
-    fleet_.timers.run_for(7s);
-    EXPECT_GE(fleet_.vms.maintained(), 2);
-    fleet_.kill("a");
-    fleet_.timers.run_for(25s);
-    EXPECT_EQ(fleet_.vms.maintained(), 6);
-    EXPECT_EQ(fleet_.vms.most_in_maintenance(), 1);
-    EXPECT_EQ(fleet_.store.find("status/1")->value, "completed");
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    fleet.timers.run_for(500ms);
+    fleet.request_wave(wave_of(6, 1));
+    fleet.timers.run_for(7s);
+    EXPECT_GE(fleet.vms.maintained(), 2);
+    fleet.kill("a");
+    fleet.timers.run_for(25s);
+    EXPECT_EQ(fleet.vms.maintained(), 6);
+    EXPECT_EQ(fleet.vms.most_in_maintenance(), 1);
+    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
 }
 
 // A worker dies for good just when the leader is replaced. Its VM is still listed as up and counted
@@ -144,23 +144,23 @@
 // (frr-hq, hunt-c9d8-11).
 TEST_F(fleet_changes, task_of_a_dead_worker_returns_soon_under_a_new_leader)
 {
-    fleet_.workers.fallback.duration = 600s;
+    fleet.workers.fallback.duration = 600s;
     add_vms(5, 4);
-    fleet_.add_node("a");
-    ASSERT_TRUE(fleet_.await_leader());
-    fleet_.add_node("b");
-    fleet_.timers.run_for(500ms);
-    ASSERT_EQ(fleet_.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
-    fleet_.timers.run_for(4s);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    fleet.timers.run_for(500ms);
+    ASSERT_EQ(fleet.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(4s);
     ASSERT_EQ(tasks_at_work(5), 5);
-    const auto dead = fleet_.workers.worker_of(job_id + ".0.0.0");
-    fleet_.workers.crash(dead);
-    fleet_.kill("a");
-    fleet_.timers.run_for(4500ms);
-    fleet_.unlist_worker(dead);
-    fleet_.timers.run_for(4500ms);
+    const auto dead = fleet.workers.worker_of(job_id + ".0.0.0");
+    fleet.workers.crash(dead);
+    fleet.kill("a");
+    fleet.timers.run_for(4500ms);
+    fleet.unlist_worker(dead);
+    fleet.timers.run_for(4500ms);
     EXPECT_EQ(tasks_at_work(5), 5);
-    EXPECT_TRUE(fleet_.workers.violations().empty());
+    EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
 // Demand that rises within two seconds, stays for some, and falls again: VMs come from the standby
@@ -168,24 +168,24 @@
 TEST_F(fleet_changes, vms_follow_the_turn_of_a_queue)
 {
     add_vms(2, 14);
-    fleet_.add_node("a");
-    ASSERT_TRUE(fleet_.await_leader());
-    fleet_.timers.run_for(1s);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(1s);
     int number = 0;
     const auto submit_for = [&](std::chrono::milliseconds span, int a_second) {
         for (int elapsed = 0; elapsed < span.count(); elapsed += 1000 / a_second) {
             auto spec = make_job("00000000000" + std::to_string(10000 + number++), 1, 8);
-            fleet_.leader()->submit(std::move(spec), [](submit_outcome) {});
-            fleet_.timers.run_for(std::chrono::milliseconds(1000 / a_second));
+            fleet.leader()->submit(std::move(spec), [](submit_outcome) {});
+            fleet.timers.run_for(std::chrono::milliseconds(1000 / a_second));
         }
     };
     submit_for(1s, 6);
     submit_for(4s, 20); // 20 jobs of 8 tasks of 4 cores: 10 VMs
-    EXPECT_GE(fleet_.vms.vms_in("rounds"), 9);
-    fleet_.timers.run_for(8s);
-    EXPECT_LE(fleet_.vms.vms_in("rounds"), 3);
-    EXPECT_LE(fleet_.vms.moves(), 34);
-    EXPECT_TRUE(fleet_.workers.violations().empty());
+    EXPECT_GE(fleet.vms.vms_in("rounds"), 9);
+    fleet.timers.run_for(8s);
+    EXPECT_LE(fleet.vms.vms_in("rounds"), 3);
+    EXPECT_LE(fleet.vms.moves(), 34);
+    EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
 } // namespace
--- a/src/jobs/record_writer.cpp
+++ b/src/jobs/record_writer.cpp
@@ -118,6 +118,7 @@
         sending_.erase(record.key);
     }
     if (!result.value) {
+        callbacks_.write_failed(result.error);
         if (failures_++ == 0) {
             log_event(
                 log_level::warning, "store.write_failed",
--- a/src/jobs/record_writer.h
+++ b/src/jobs/record_writer.h
@@ -36,6 +36,7 @@
         std::function<void(const std::string& key, std::int64_t version)> durable;
         // All keys of one transaction have been reported.
         std::function<void()> batch_done;
+        std::function<void(store_error)> write_failed;
         // The leader key has changed.
         std::function<void()> fenced;
     };
--- a/src/jobs/request_router.cpp
+++ b/src/jobs/request_router.cpp
@@ -39,9 +39,13 @@
     bool finished = false;
 };
 
-request_router::request_router(net::event_loop& loop, leadership& election, std::string node,
-                               hooks hooks)
-    : loop_(loop), election_(election), node_(std::move(node)), hooks_(std::move(hooks))
+request_router::request_router(net::event_loop& loop, leadership& election, job_metrics& metrics,
+                               std::string node, hooks hooks)
+    : loop_(loop),
+      election_(election),
+      metrics_(metrics),
+      node_(std::move(node)),
+      hooks_(std::move(hooks))
 {
 }
 
@@ -174,7 +178,6 @@
         retry(routed);
         return;
     }
-    routed->finished = true;
     http::response passed;
     passed.status = answer.status;
     passed.body = answer.body;
@@ -183,7 +186,14 @@
             passed.headers[name] = *value;
         }
     }
-    routed->respond(std::move(passed));
+    finish(routed, std::move(passed));
+}
+
+void request_router::finish(const routed_ptr& routed, http::response answer)
+{
+    routed->finished = true;
+    metrics_.request(routed->request.method, answer.status, loop_.now() - routed->received);
+    routed->respond(std::move(answer));
 }
 
 void request_router::retry(const routed_ptr& routed)
@@ -203,12 +213,11 @@
 
 void request_router::give_up(const routed_ptr& routed)
 {
-    routed->finished = true;
     log_event(log_level::info, "request.given_up",
               {{"method", routed->request.method},
                {"path", routed->request.target},
                {"maybe_carried_out", routed->maybe_carried_out ? "true" : "false"}});
-    routed->respond(routed->maybe_carried_out ? hooks_.unknown() : hooks_.refusal());
+    finish(routed, routed->maybe_carried_out ? hooks_.unknown() : hooks_.refusal());
 }
 
 } // namespace jl::jobs
--- a/src/jobs/request_router.h
+++ b/src/jobs/request_router.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "http/message.h"
+#include "jobs/job_metrics.h"
 #include "jobs/leadership.h"
 #include "net/async_client.h"
 #include "net/async_server.h"
@@ -31,7 +32,8 @@
         std::function<bool(const http::response&)> leaves_open; // the answer is `unknown()`
     };
 
-    request_router(net::event_loop& loop, leadership& election, std::string node, hooks hooks);
+    request_router(net::event_loop& loop, leadership& election, job_metrics& metrics,
+                   std::string node, hooks hooks);
     ~request_router();
     request_router(const request_router&) = delete;
     request_router& operator=(const request_router&) = delete;
@@ -57,10 +59,12 @@
     void on_answer(const routed_ptr& routed, const http::response& answer);
     void retry(const routed_ptr& routed);
     void give_up(const routed_ptr& routed);
+    void finish(const routed_ptr& routed, http::response answer);
     net::async_client& client(const endpoint& address);
 
     net::event_loop& loop_;
     leadership& election_;
+    job_metrics& metrics_;
     std::string node_;
     hooks hooks_;
     std::list<routed_ptr> waiting_; // for a leader
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -34,8 +34,13 @@
 } // namespace
 
 task_runner::task_runner(net::timer_service& timers, worker_connector& connector, job_table& jobs,
-                         task_events& events, runner_settings settings)
-    : timers_(timers), connector_(connector), jobs_(jobs), events_(events), settings_(settings)
+                         task_events& events, job_metrics& metrics, runner_settings settings)
+    : timers_(timers),
+      connector_(connector),
+      jobs_(jobs),
+      events_(events),
+      metrics_(metrics),
+      settings_(settings)
 {
 }
 
@@ -141,8 +146,15 @@
     target.changed = timers_.now();
     target.order_confirmed = never;
     target.order_attempts = 0;
+    if (!target.owner->any_started && !target.owner->spec.timed()) {
+        metrics_.first_start(target.owner->spec.queue, timers_.wall_now() - target.owner->accepted);
+    }
     target.owner->any_started = true;
     slot.assigned.insert(&target);
+    log_event(log_level::info, "task.start",
+              {{"task", target.name().to_string()},
+               {"run", std::to_string(target.run)},
+               {"worker", target.worker}});
     send_start(target.name(), target.run, target.worker);
 }
 
@@ -180,6 +192,7 @@
     }
     const auto now = timers_.now();
     if (result.status != order_status::accepted) {
+        metrics_.start_refused(result.status);
         log_event(log_level::info, "task.start_refused",
                   {{"task", name.to_string()},
                    {"run", std::to_string(run)},
@@ -379,6 +392,7 @@
     slot->pending_ends.clear();
     const auto lost = slot->assigned;
     if (!lost.empty()) {
+        metrics_.workers_lost(lost.size());
         log_event(log_level::warning, "worker.tasks_lost",
                   {{"worker", session.info().id},
                    {"tasks", std::to_string(lost.size())},
@@ -434,6 +448,7 @@
     if (!ours && !former) {
         return 0; // an earlier run, replaced after its lease had lapsed
     }
+    metrics_.task_ended(end.kind);
     log_event(log_level::info, "task.ended",
               {{"task", end.name},
                {"run", std::to_string(end.run)},
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "jobs/job_metrics.h"
 #include "jobs/job_table.h"
 #include "jobs/worker_session.h"
 
@@ -68,7 +69,7 @@
 class task_runner final : private session_listener {
 public:
     task_runner(net::timer_service& timers, worker_connector& connector, job_table& jobs,
-                task_events& events, runner_settings settings);
+                task_events& events, job_metrics& metrics, runner_settings settings);
     ~task_runner() override;
     task_runner(const task_runner&) = delete;
     task_runner& operator=(const task_runner&) = delete;
@@ -121,6 +122,7 @@
     worker_connector& connector_;
     job_table& jobs_;
     task_events& events_;
+    job_metrics& metrics_;
     runner_settings settings_;
     std::map<std::string, worker_slot> slots_; // by worker id
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/jobs/testing/fake_store.cpp
+++ b/src/jobs/testing/fake_store.cpp
@@ -73,7 +73,7 @@
             ++next;
             continue;
         }
-        answers.push_back([answer = next->second.answer, listing] { answer(listing); });
+        answers.emplace_back([answer = next->second.answer, listing] { answer(listing); });
         next = watches_.erase(next);
     }
     for (const auto& answer : answers) {
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -35,7 +35,7 @@
     {
         deliver(
             [&fleet = fleet_, worker = worker_, order] { return fleet.take_start(worker, order); },
-            timeout, std::move(done));
+            timeout, done);
     }
 
     void stop(const stop_order& order, milliseconds timeout,
@@ -43,13 +43,13 @@
     {
         deliver(
             [&fleet = fleet_, worker = worker_, order] { return fleet.take_stop(worker, order); },
-            timeout, std::move(done));
+            timeout, done);
     }
 
     void pace(const pace_order&, milliseconds timeout,
               std::function<void(const order_result&)> done) override
     {
-        deliver([] { return make_result(order_status::accepted); }, timeout, std::move(done));
+        deliver([] { return make_result(order_status::accepted); }, timeout, done);
     }
 
     void hold(const hold_order& order, milliseconds timeout,
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -26,6 +26,7 @@
         ports.workers = &workers;
         ports.vms = &vms;
         ports.documents = &documents;
+        ports.metrics = &metrics_;
         engine_settings settings;
         settings.max_lease = workers.max_lease;
         engine_ = std::make_unique<engine>(
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -63,6 +63,7 @@
 
 private:
     fake_store::port& store_;
+    job_metrics metrics_;
     std::unique_ptr<engine> engine_;
     std::unique_ptr<leadership> election_;
 };
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -25,7 +25,7 @@
 
 wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                            store_port& store, const document_codec& documents, task_runner& runner,
-                           const leader_record& leader, std::function<bool()> may_order,
+                           leader_record leader, std::function<bool()> may_order,
                            std::function<bool(const task&)> may_relocate)
     : timers_(timers),
       vm_port_(vms),
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -26,7 +26,7 @@
     // find room on another worker.
     wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                  store_port& store, const document_codec& documents, task_runner& runner,
-                 const leader_record& leader, std::function<bool()> may_order,
+                 leader_record leader, std::function<bool()> may_order,
                  std::function<bool(const task&)> may_relocate);
     ~wave_manager();
     wave_manager(const wave_manager&) = delete;
--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -19,43 +19,43 @@
 protected:
     void serve(async_handler handler)
     {
-        server_ = std::make_unique<async_server>(loop_, endpoint{"127.0.0.1", 0},
-                                                 async_server_limits{}, std::move(handler));
-        client_ = std::make_unique<async_client>(loop_, endpoint{"127.0.0.1", server_->port()},
-                                                 async_client_limits{});
+        server = std::make_unique<async_server>(loop, endpoint{"127.0.0.1", 0},
+                                                async_server_limits{}, std::move(handler));
+        client = std::make_unique<async_client>(loop, endpoint{"127.0.0.1", server->port()},
+                                                async_client_limits{});
     }
 
     // Runs the loop until `count` exchanges have been reported.
     void run_until(std::size_t count)
     {
-        expected_ = count;
-        loop_.call_after(10s, [this] { loop_.stop(); });
-        loop_.run();
+        expected = count;
+        loop.call_after(10s, [this] { loop.stop(); });
+        loop.run();
     }
 
     void send(const std::string& target, std::chrono::milliseconds timeout = 5s)
     {
         http::request request;
         request.target = target;
-        client_->exchange(request, timeout, [this](const exchange_result& result) {
-            results_.push_back(result);
-            if (results_.size() == expected_) {
-                loop_.stop();
+        client->exchange(request, timeout, [this](const exchange_result& result) {
+            results.push_back(result);
+            if (results.size() == expected) {
+                loop.stop();
             }
         });
     }
 
-    event_loop loop_;
-    std::unique_ptr<async_server> server_;
-    std::unique_ptr<async_client> client_;
-    std::vector<exchange_result> results_;
-    std::size_t expected_ = 0;
+    event_loop loop;
+    std::unique_ptr<async_server> server;
+    std::unique_ptr<async_client> client;
+    std::vector<exchange_result> results;
+    std::size_t expected = 0;
 };
 
 TEST_F(async_http, answers_each_exchange_on_few_connections)
 {
     int requests = 0;
-    serve([&](http::request request, responder respond) {
+    serve([&](const http::request& request, const responder& respond) {
         ++requests;
         respond(http::json_response(200, request.target));
     });
@@ -63,9 +63,9 @@
         send("/" + std::to_string(index));
     }
     run_until(20);
-    ASSERT_EQ(results_.size(), 20U);
+    ASSERT_EQ(results.size(), 20U);
     EXPECT_EQ(requests, 20);
-    for (const auto& result : results_) {
+    for (const auto& result : results) {
         ASSERT_TRUE(result.answer);
         EXPECT_EQ(result.answer->status, 200);
     }
@@ -81,8 +81,8 @@
     send("/b", 40ms);
     send("/c", 50ms);
     run_until(3);
-    ASSERT_EQ(results_.size(), 3U);
-    for (const auto& result : results_) {
+    ASSERT_EQ(results.size(), 3U);
+    for (const auto& result : results) {
         EXPECT_FALSE(result.answer);
         EXPECT_EQ(result.error.code, http::client_error_code::timed_out);
         EXPECT_FALSE(result.error.not_sent());
@@ -92,12 +92,11 @@
 TEST_F(async_http, refused_connection_is_reported_as_not_sent)
 {
     serve([](const http::request&, const responder&) {});
-    client_ =
-        std::make_unique<async_client>(loop_, endpoint{"127.0.0.1", 1}, async_client_limits{});
+    client = std::make_unique<async_client>(loop, endpoint{"127.0.0.1", 1}, async_client_limits{});
     send("/");
     run_until(1);
-    ASSERT_EQ(results_.size(), 1U);
-    EXPECT_TRUE(results_[0].error.not_sent());
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_TRUE(results[0].error.not_sent());
 }
 
 // The owner of a client may destroy it while an answer is being reported.
@@ -107,10 +106,10 @@
         respond(http::json_response(200, "{}"));
     });
     bool reported = false;
-    client_->exchange({}, 5s, [&](const exchange_result&) {
-        client_.reset();
+    client->exchange({}, 5s, [&](const exchange_result&) {
+        client.reset();
         reported = true;
-        loop_.stop();
+        loop.stop();
     });
     run_until(0);
     EXPECT_TRUE(reported);
@@ -123,7 +122,7 @@
     send("/", 30ms);
     run_until(1);
     held(http::json_response(200, "{}"));
-    EXPECT_EQ(server_->open_requests(), 0U);
+    EXPECT_EQ(server->open_requests(), 0U);
 }
 
 TEST(http_framing, takes_whole_messages_only)
--- a/src/net/async_server.cpp
+++ b/src/net/async_server.cpp
@@ -170,7 +170,7 @@
         const bool close_requested = wants_close(request->headers);
         std::weak_ptr<connection> reference = open;
         handler_(std::move(*request), [this, reference, close_requested,
-                                       answered = false](http::response answer) mutable {
+                                       answered = false](const http::response& answer) mutable {
             if (answered) {
                 return;
             }
