Run jl-node in the project's own tests, against a stand-in of the users' platform

Real processes: a job submitted at one node is completed and known at all, the leader is killed, paused and stopped, and no task runs twice.

--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,210 @@
+// jl-node as real processes against a stand-in of the users' platform.
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <thread>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "http/client.h"
+#include "tests/harness/child_process.h"
+#include "tests/harness/deployment.h"
+
+namespace jl::harness {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr int nodes = 3;
+
+// A platform stand-in and three nodes.
+class node_fleet : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        directory = std::filesystem::temp_directory_path() /
+                    ("jl-node-test-" + std::to_string(::getpid()) + "-" +
+                     ::testing::UnitTest::GetInstance()->current_test_info()->name());
+        std::filesystem::create_directories(directory);
+        platform_address = free_endpoint();
+        platform =
+            std::make_unique<child_process>(std::string(JL_BIN_DIR) + "/jl-standin-users-platform",
+                                            std::vector<std::string>{platform_address.to_string()},
+                                            (directory / "platform.log").string());
+        for (int number = 0; number < nodes; ++number) {
+            start_node(number);
+        }
+        ASSERT_TRUE(eventually([&] { return ready(0) && ready(1) && ready(2); }));
+    }
+
+    void TearDown() override
+    {
+        processes.clear();
+        platform.reset();
+        if (!HasFailure()) {
+            std::filesystem::remove_all(directory);
+        }
+    }
+
+    void start_node(int number)
+    {
+        auto& addresses = node_addresses[number];
+        if (addresses.empty()) {
+            addresses = {free_endpoint(), free_endpoint(), free_endpoint()};
+        }
+        const json settings = {{"nodeName", "node-" + std::to_string(number)},
+                               {"ipAddress", addresses[2].address},
+                               {"zone", "north"},
+                               {"listenAddresses",
+                                {{"frontendAddress", addresses[0].to_string()},
+                                 {"readiness", addresses[1].to_string()}}},
+                               {"internalPortRange", {addresses[2].port, addresses[2].port}},
+                               {"platform", {{"address", platform_address.to_string()}}},
+                               {"cloud", {{"address", platform_address.to_string()}}},
+                               {"bounds", {{"graceS", 4}, {"stopMs", 300}}}};
+        const auto path = directory / ("node-" + std::to_string(number) + ".json");
+        std::ofstream(path) << settings.dump();
+        processes[number] = std::make_unique<child_process>(
+            std::string(JL_BIN_DIR) + "/jl-node",
+            std::vector<std::string>{"--settings", path.string()},
+            (directory / ("node-" + std::to_string(number) + ".log")).string());
+    }
+
+    static std::optional<http::response> send(const endpoint& server, const std::string& method,
+                                              const std::string& target,
+                                              const std::string& body = "")
+    {
+        http::client client(server, {});
+        http::request request;
+        request.method = method;
+        request.target = target;
+        request.headers["Host"] = "plans.example";
+        request.body = body;
+        return client.exchange(request, std::chrono::steady_clock::now() + 4s);
+    }
+
+    bool ready(int number) const
+    {
+        const auto answer = send(node_addresses.at(number)[1], "GET", "/api/readiness");
+        return answer && answer->status == 200;
+    }
+
+    std::string state(int number, const std::string& id) const
+    {
+        const auto answer = send(node_addresses.at(number)[0], "GET", "/plans/" + id);
+        if (!answer || answer->status != 200) {
+            return "";
+        }
+        return json::parse(answer->body).value("state", "");
+    }
+
+    int submit(int number, const std::string& id) const
+    {
+        const json step = {
+            {"count", 3}, {"cpu", 2000}, {"memoryRequestMb", 1024}, {"estimatedMs", 300}};
+        auto second = step;
+        second["after"] = {0};
+        const json job = {{"specification", "plan"}, {"steps", {step, second}}};
+        const auto answer = send(node_addresses.at(number)[0], "POST", "/plans/" + id, job.dump());
+        return answer ? answer->status : 0;
+    }
+
+    // Number of the node that leads, by its metrics; -1 if none.
+    int leader() const
+    {
+        for (int number = 0; number < nodes; ++number) {
+            const auto answer = send(node_addresses.at(number)[2], "GET", "/metrics");
+            if (answer && answer->body.find("\njl_leader 1") != std::string::npos) {
+                return number;
+            }
+        }
+        return -1;
+    }
+
+    json report() const
+    {
+        const auto answer = send(platform_address, "GET", "/standin/report");
+        return answer ? json::parse(answer->body) : json();
+    }
+
+    std::filesystem::path directory;
+    endpoint platform_address;
+    std::unique_ptr<child_process> platform;
+    std::map<int, std::vector<endpoint>> node_addresses; // callers, readiness, other processes
+    std::map<int, std::unique_ptr<child_process>> processes;
+};
+
+TEST_F(node_fleet, job_submitted_at_one_node_is_completed_and_known_at_all)
+{
+    const std::string id = "00000000000000a1";
+    ASSERT_TRUE(eventually([&] { return submit(1, id) == 200; }));
+    for (int number = 0; number < nodes; ++number) {
+        EXPECT_TRUE(eventually([&] { return state(number, id) == "completed"; })) << number;
+    }
+    EXPECT_EQ(submit(2, id), 200);
+    const auto seen = report();
+    EXPECT_EQ(seen["starts"].size(), 6U);
+    for (const auto& [task, starts] : seen["starts"].items()) {
+        EXPECT_EQ(starts, 1) << task;
+    }
+    EXPECT_TRUE(seen["violations"].empty());
+}
+
+TEST_F(node_fleet, unknown_queue_and_unknown_job_are_told_apart)
+{
+    ASSERT_TRUE(eventually([&] { return submit(0, "00000000000000a2") == 200; }));
+    const auto server = node_addresses.at(0)[0];
+    EXPECT_EQ(send(server, "GET", "/nothing/00000000000000a1")->status, 404);
+    EXPECT_EQ(send(server, "GET", "/plans/00000000000000ff")->status, 410);
+    EXPECT_EQ(send(server, "DELETE", "/plans/00000000000000ff")->status, 410);
+    EXPECT_EQ(send(server, "POST", "/plans/00000000000000ff", "no json")->status, 400);
+    EXPECT_EQ(send(server, "GET", "/plans/")->status, 200);
+}
+
+// The leader is killed or paused while jobs run: they are completed under another one, and no task
+// runs twice.
+TEST_F(node_fleet, jobs_survive_the_leader)
+{
+    std::vector<std::string> ids;
+    for (int number = 0; number < 12; ++number) {
+        ids.push_back("00000000000000b" + std::string(1, "0123456789ab"[number]));
+        ASSERT_TRUE(eventually([&] { return submit(number % nodes, ids.back()) == 200; }));
+    }
+    ASSERT_TRUE(eventually([&] { return leader() >= 0; }));
+    const int first = leader();
+    processes[first]->kill();
+    const int other = (first + 1) % nodes;
+    for (const auto& id : ids) {
+        EXPECT_TRUE(eventually([&] { return state(other, id) == "completed"; })) << id;
+    }
+    start_node(first);
+    ASSERT_TRUE(eventually([&] { return ready(first) && leader() >= 0; }));
+    const int second = leader();
+    ASSERT_TRUE(eventually([&] { return submit(first, "00000000000000c1") == 200; }));
+    processes[second]->pause();
+    std::this_thread::sleep_for(3s);
+    processes[second]->resume();
+    for (int number = 0; number < nodes; ++number) {
+        EXPECT_TRUE(eventually([&] { return state(number, "00000000000000c1") == "completed"; }));
+    }
+    EXPECT_TRUE(report()["violations"].empty()) << report()["violations"].dump();
+}
+
+TEST_F(node_fleet, leader_hands_over_when_it_is_stopped)
+{
+    ASSERT_TRUE(eventually([&] { return submit(0, "00000000000000d1") == 200; }));
+    const int first = leader();
+    ASSERT_GE(first, 0);
+    EXPECT_EQ(processes[first]->terminate(), 0);
+    processes.erase(first);
+    const int other = (first + 1) % nodes;
+    EXPECT_TRUE(eventually([&] { return state(other, "00000000000000d1") == "completed"; }));
+}
+
+} // namespace
+} // namespace jl::harness
