--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "decisions/filler_pace.h"
 #include "jobs/capacity_manager.h"
 #include "jobs/vm_directory.h"
 #include "jobs/wave_manager.h"
@@ -593,7 +594,12 @@
     }
 }
 
-void engine::task_progressed(task&) {}
+void engine::worker_reported(worker_slot& slot)
+{
+    if (may_act_()) {
+        control_pace(slot);
+    }
+}
 
 void engine::workers_changed()
 {
@@ -719,7 +725,6 @@
     ports_.metrics->active_jobs(jobs_.active().size(), runner_->slots().size());
     if (ready()) {
         relocate_from_draining();
-        control_pace();
         if (vms_) {
             vms_->refresh();
             waves_->step();
@@ -788,6 +793,22 @@
     }
 }
 
-void engine::control_pace() {}
+// Slows tasks that fill down while tasks beside them come near their latency target.
+void engine::control_pace(worker_slot& slot)
+{
+    double latency_ratio = 0;
+    for (const auto* const task : slot.assigned) {
+        const auto target = task->spec().latency_target;
+        if (target > 0ms && task->phase == task_phase::running) {
+            latency_ratio =
+                std::max(latency_ratio, task->load / static_cast<double>(target.count()));
+        }
+    }
+    for (auto* const task : slot.assigned) {
+        if (task->spec().filler && task->phase == task_phase::running) {
+            runner_->set_pace(*task, decisions::next_filler_pace(latency_ratio, task->pace));
+        }
+    }
+}
 
 } // namespace jl::jobs
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -79,7 +79,7 @@
     std::int64_t task_done(task& ended) override;
     std::int64_t task_failed(task& ended, std::int64_t run) override;
     void task_released(task& released, const char* reason) override;
-    void task_progressed(task& running) override;
+    void worker_reported(worker_slot& slot) override;
     void workers_changed() override;
     void fenced(const std::string& worker) override;
 
@@ -111,7 +111,7 @@
     void resolve_tasks();
     void retire_finished();
     void relocate_from_draining();
-    void control_pace();
+    void control_pace(worker_slot& slot);
     void make_vm_managers();
     void update_roster();
     void housekeeping();
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -414,6 +414,7 @@
     apply_ends(*slot, report);
     apply_running(*slot, report);
     find_vanished(*slot, report, asked);
+    events_.worker_reported(*slot);
     if (!report.ended.empty() || slot->from_roster) {
         events_.workers_changed();
     }
@@ -523,7 +524,6 @@
         target->changed = now;
     }
     target->load = row.load;
-    events_.task_progressed(*target);
 }
 
 // Tasks that the worker had accepted before it was asked for its lists, and lists no more.
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -14,6 +14,8 @@
 
 namespace jl::jobs {
 
+struct worker_slot;
+
 // What becomes of tasks, reported by task_runner.
 class task_events {
 public:
@@ -24,7 +26,8 @@
     virtual std::int64_t task_failed(task& ended, std::int64_t run) = 0;
     // The task runs nowhere and waits again.
     virtual void task_released(task& released, const char* reason) = 0;
-    virtual void task_progressed(task& running) = 0;
+    // The worker has told what runs on it.
+    virtual void worker_reported(worker_slot& slot) = 0;
     virtual void workers_changed() = 0;
     virtual void fenced(const std::string& worker) = 0;
 };
