--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -46,7 +46,8 @@
 capacity_manager::capacity_manager(net::timer_service& timers, vm_port& vms,
                                    vm_directory& directory, const wave_manager& waves,
                                    job_table& jobs, task_runner& runner, std::int64_t token,
-                                   milliseconds move_time, std::function<bool()> may_order)
+                                   milliseconds move_time,
+                                   std::function<bool(const std::string&)> may_order)
     : timers_(timers),
       vm_port_(vms),
       directory_(directory),
@@ -358,7 +359,7 @@
             continue;
         }
         const auto* const slot = directory_.slot_of(vm);
-        if ((slot == nullptr || slot->assigned.empty()) && may_order_()) {
+        if ((slot == nullptr || slot->assigned.empty()) && may_order_(vm)) {
             order(vm, move);
         }
     }
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -27,7 +27,8 @@
 public:
     capacity_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                      const wave_manager& waves, job_table& jobs, task_runner& runner,
-                     std::int64_t token, milliseconds move_time, std::function<bool()> may_order);
+                     std::int64_t token, milliseconds move_time,
+                     std::function<bool(const std::string& vm)> may_order);
     ~capacity_manager();
     capacity_manager(const capacity_manager&) = delete;
     capacity_manager& operator=(const capacity_manager&) = delete;
@@ -81,7 +82,7 @@
     task_runner& runner_;
     std::int64_t token_;
     milliseconds move_time_;
-    std::function<bool()> may_order_;
+    std::function<bool(const std::string&)> may_order_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     decisions::demand_forecast demand_;
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -7,6 +7,7 @@
 #include "decisions/filler_pace.h"
 #include "jobs/capacity_manager.h"
 #include "jobs/vm_directory.h"
+#include "jobs/vm_order_log.h"
 #include "jobs/wave_manager.h"
 
 namespace jl::jobs {
@@ -18,7 +19,6 @@
 constexpr auto tick_interval = 8ms;
 constexpr auto housekeeping_interval = 100ms;
 constexpr auto load_retry_delay = 150ms;
-constexpr auto vm_order_slack = 200ms;
 // A configuration must be in force within two seconds even if its watch is silent.
 constexpr auto operator_resync = 700ms;
 constexpr auto worker_resync = 1000ms;
@@ -86,14 +86,16 @@
 
 void engine::make_vm_managers()
 {
-    if (leader_.term > 1) {
-        vm_orders_from_ = timers_.now() + settings_.vm_order_interval + vm_order_slack;
-    }
-    const auto may_order = [this] { return may_act_() && timers_.now() >= vm_orders_from_; };
+    vm_orders_ = std::make_unique<vm_order_log>(
+        timers_, settings_.vm_order_interval, [this] { writer_->mark(vm_order_log::key); },
+        [this] { manage_vms(); });
+    const auto may_order = [this](const std::string& vm) {
+        return may_act_() && vm_orders_->may_order(vm);
+    };
     vms_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
     waves_ = std::make_unique<wave_manager>(
         timers_, *ports_.vms, *vms_, *ports_.store, *ports_.documents, *runner_, leader_, may_order,
-        [this](const task& target) {
+        may_act_, [this](const task& target) {
             return config_ && scheduler_->fits_elsewhere(target, *config_);
         });
     capacity_ =
@@ -159,6 +161,10 @@
         else if (item.key == roster_key) {
             load_roster(item);
         }
+        else if (vm_orders_ && item.key == vm_order_log::key) {
+            writer_->set_revision(item.key, item.revision);
+            vm_orders_->load(item);
+        }
         else if (waves_ && begins_with(item.key, wave_manager::record_prefix)) {
             waves_->load(item);
         }
@@ -330,6 +336,11 @@
         record.version = roster_version_;
         return record;
     }
+    if (key == vm_order_log::key) {
+        record.value = vm_orders_->encode();
+        record.version = vm_orders_->version();
+        return record;
+    }
     const auto* const target = jobs_.find(key.substr(std::string(job_prefix).size()));
     if (target == nullptr) {
         record.removed = true;
@@ -346,6 +357,10 @@
         on_roster_durable(version);
         return;
     }
+    if (key == vm_order_log::key) {
+        vm_orders_->on_durable(version);
+        return;
+    }
     if (auto* const target = jobs_.find(key.substr(std::string(job_prefix).size()))) {
         on_job_durable(*target, version);
     }
@@ -725,11 +740,7 @@
     ports_.metrics->active_jobs(jobs_.active().size(), runner_->slots().size());
     if (ready()) {
         relocate_from_draining();
-        if (vms_) {
-            vms_->refresh();
-            waves_->step();
-            capacity_->step(*config_);
-        }
+        manage_vms();
     }
     if (runner_->forget_unlisted()) {
         update_roster();
@@ -737,6 +748,16 @@
     tick();
 }
 
+void engine::manage_vms()
+{
+    if (!vms_ || !ready() || !may_act_()) {
+        return;
+    }
+    vms_->refresh();
+    waves_->step();
+    capacity_->step(*config_);
+}
+
 // Takes jobs that have ended out of the schedule once nothing of them runs, and forgets them after
 // the time for which their state must be known.
 void engine::retire_finished()
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -24,6 +24,7 @@
 
 class capacity_manager;
 class vm_directory;
+class vm_order_log;
 class wave_manager;
 
 // Limits of the platform that the engine depends on.
@@ -113,6 +114,7 @@
     void relocate_from_draining();
     void control_pace(worker_slot& slot);
     void make_vm_managers();
+    void manage_vms();
     void update_roster();
     void housekeeping();
 
@@ -131,14 +133,14 @@
     std::unique_ptr<advice_book> advice_;
     std::unique_ptr<job_scheduler> scheduler_;
     std::unique_ptr<vm_directory> vms_;
+    std::unique_ptr<vm_order_log> vm_orders_;
     std::unique_ptr<wave_manager> waves_;
     std::unique_ptr<capacity_manager> capacity_;
     std::unique_ptr<watched_prefix> workers_;
     std::unique_ptr<watched_prefix> operators_;
     bool loaded_ = false;
-    bool unresolved_ = false;         // some task of a former leader may run unknown to us
-    net::boot_time vm_orders_from_{}; // orders of a former leader to VMs are over by then
-    bool ended_ = false;              // a newer leader was seen
+    bool unresolved_ = false; // some task of a former leader may run unknown to us
+    bool ended_ = false;      // a newer leader was seen
 
     std::map<std::string, roster_entry> roster_;
     std::int64_t roster_version_ = 0;
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -163,6 +163,31 @@
     EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
+// A new leader waited three seconds before any order to a VM, since it did not know to which ones
+// the former leader had given orders, while a turn went unserved (gerddi-jasmine, trouble-1).
+TEST_F(fleet_changes, new_leader_moves_vms_at_once_unless_the_former_did)
+{
+    add_vms(4, 20);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    fleet.timers.run_for(1s);
+    fleet.leader()->submit(make_job(job_id, 1, 100), [](submit_outcome) {});
+    fleet.timers.run_for(200ms);
+    const int moved_before = fleet.vms.moves();
+    EXPECT_GT(moved_before, 0);
+    fleet.kill("a");
+    ASSERT_TRUE(fleet.await_leader());
+    for (int number = 0; number < 6; ++number) {
+        fleet.leader()->submit(make_job("00000000000000d" + std::to_string(number), 1, 60),
+                               [](submit_outcome) {});
+    }
+    fleet.timers.run_for(700ms);
+    EXPECT_GT(fleet.vms.moves(), moved_before);
+    fleet.timers.run_for(8s);
+    EXPECT_EQ(fleet.vms.contested(), 0);
+}
+
 // Demand that rises within two seconds, stays for some, and falls again: VMs come from the standby
 // pool in time and go back, each once or nearly so.
 TEST_F(fleet_changes, vms_follow_the_turn_of_a_queue)
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -13,7 +13,7 @@
     accepted,
     overloaded,  // not accepted; never runs
     unavailable, // not accepted, since the store does not answer; never runs
-    unknown,    // may have been accepted; the same job may be submitted again
+    unknown,     // may have been accepted; the same job may be submitted again
 };
 
 enum class cancel_outcome { cancelled, no_such_job, unknown };
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -12,6 +12,8 @@
 constexpr auto latency = 5ms;
 constexpr auto move_time = 1500ms;
 constexpr auto maintenance_time = 2000ms;
+// Orders of two leaders to one VM must be this far apart.
+constexpr auto order_interval = 3000ms;
 
 } // namespace
 
@@ -54,6 +56,14 @@
     down.state = state;
 }
 
+void fake_vms::judge_order(const std::string& vm, std::int64_t token)
+{
+    auto& last = last_orders_[vm];
+    const bool recent = last.token != 0 && timers_.now() - last.at < order_interval;
+    contested_ += recent && last.token != token ? 1 : 0;
+    last = {token, timers_.now()};
+}
+
 void fake_vms::list(std::function<void(std::optional<std::vector<fleet_vm>>)> done)
 {
     timers_.call_after(latency, [this, done = std::move(done)] {
@@ -65,10 +75,11 @@
     });
 }
 
-void fake_vms::move(const std::string& vm, const std::string& pool, std::int64_t,
+void fake_vms::move(const std::string& vm, const std::string& pool, std::int64_t token,
                     std::function<void(vm_order_status)> done)
 {
-    timers_.call_after(latency, [this, vm, pool, done = std::move(done)] {
+    timers_.call_after(latency, [this, vm, pool, token, done = std::move(done)] {
+        judge_order(vm, token);
         auto& moved = vms_.at(vm);
         if (moved.state != vm_state::up) {
             done(vm_order_status::busy);
@@ -84,10 +95,11 @@
     });
 }
 
-void fake_vms::maintain(const std::string& vm, std::int64_t wave, std::int64_t,
+void fake_vms::maintain(const std::string& vm, std::int64_t wave, std::int64_t token,
                         std::function<void(vm_order_status)> done)
 {
-    timers_.call_after(latency, [this, vm, wave, done = std::move(done)] {
+    timers_.call_after(latency, [this, vm, wave, token, done = std::move(done)] {
+        judge_order(vm, token);
         if (done_in_wave_.count({vm, wave}) != 0) {
             done(vm_order_status::accepted); // the platform carries an order out once
             return;
--- a/src/jobs/testing/fake_vms.h
+++ b/src/jobs/testing/fake_vms.h
@@ -37,10 +37,13 @@
     int vms_in(const std::string& pool) const;
     int maintained() const { return maintained_; }
     int moves() const { return moves_; }
+    // VMs that got orders of two leaders within three seconds.
+    int contested() const { return contested_; }
     // The most VMs that were down for maintenance at once.
     int most_in_maintenance() const { return most_in_maintenance_; }
 
 private:
+    void judge_order(const std::string& vm, std::int64_t token);
     void take_down(const std::string& vm, vm_state state);
     void bring_up(const std::string& vm);
 
@@ -53,6 +56,12 @@
     int maintained_ = 0;
     int moves_ = 0;
     int most_in_maintenance_ = 0;
+    int contested_ = 0;
+    struct last_order {
+        std::int64_t token = 0;
+        net::boot_time at{};
+    };
+    std::map<std::string, last_order> last_orders_; // by VM
 };
 
 } // namespace jl::jobs::testing
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -25,7 +25,8 @@
 
 wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                            store_port& store, const document_codec& documents, task_runner& runner,
-                           leader_record leader, std::function<bool()> may_order,
+                           leader_record leader, std::function<bool(const std::string&)> may_order,
+                           std::function<bool()> may_act,
                            std::function<bool(const task&)> may_relocate)
     : timers_(timers),
       vm_port_(vms),
@@ -35,6 +36,7 @@
       runner_(runner),
       leader_(leader),
       may_order_(std::move(may_order)),
+      may_act_(std::move(may_act)),
       may_relocate_(std::move(may_relocate))
 {
 }
@@ -211,7 +213,7 @@
         const auto* const slot = directory_.slot_of(name);
         const auto* const listed = directory_.find(name);
         const bool empty = slot == nullptr || slot->assigned.empty();
-        if (empty && listed != nullptr && listed->state == vm_state::up && may_order_()) {
+        if (empty && listed != nullptr && listed->state == vm_state::up && may_order_(name)) {
             ++down;
             vm.phase = wave_phase::ordered;
             order_maintenance(wave, name);
@@ -221,7 +223,7 @@
 
 void wave_manager::order_maintenance(wave_progress& wave, const std::string& name)
 {
-    if (!may_order_()) {
+    if (!may_order_(name)) {
         return;
     }
     auto& vm = wave.vms[name];
@@ -268,7 +270,7 @@
 
 void wave_manager::write_status(wave_progress& wave)
 {
-    if (wave.writing || !may_order_()) {
+    if (wave.writing || !may_act_()) {
         return;
     }
     wave.writing = true;
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -22,12 +22,12 @@
 public:
     static constexpr const char* record_prefix = "jl/wave/";
 
-    // `may_order` tells whether orders to VMs may be given now, `may_relocate` whether a task would
-    // find room on another worker.
+    // `may_order` tells whether an order to a VM may be given now, `may_relocate` whether a task
+    // would find room on another worker.
     wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                  store_port& store, const document_codec& documents, task_runner& runner,
-                 leader_record leader, std::function<bool()> may_order,
-                 std::function<bool(const task&)> may_relocate);
+                 leader_record leader, std::function<bool(const std::string& vm)> may_order,
+                 std::function<bool()> may_act, std::function<bool(const task&)> may_relocate);
     ~wave_manager();
     wave_manager(const wave_manager&) = delete;
     wave_manager& operator=(const wave_manager&) = delete;
@@ -73,7 +73,8 @@
     const document_codec& documents_;
     task_runner& runner_;
     leader_record leader_;
-    std::function<bool()> may_order_;
+    std::function<bool(const std::string&)> may_order_;
+    std::function<bool()> may_act_;
     std::function<bool(const task&)> may_relocate_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
