Take a VM for empty only by the worker that has registered itself last

Ruled out: orders carried out late (these go to workers only) and the dying leader's lease. The worker registered last decides now; a VM whose worker has gone counts as empty only after 3.5 s.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -218,8 +218,9 @@
         return false;
     }
     const auto* const slot = directory_.slot_of(vm.vm);
-    return slot == nullptr ||
-           (!runs_long_running_task(*slot) && !slot->info().draining && !slot->retiring);
+    return slot == nullptr || !slot->listed || slot->session->dead()
+               ? directory_.empty(vm.vm)
+               : (!runs_long_running_task(*slot) && !slot->info().draining && !slot->retiring);
 }
 
 // VMs of the pool that can leave it, those that are empty first.
@@ -358,8 +359,7 @@
         if (ordered && !(move.open && timers_.now() > move.ordered_at + order_retry_interval)) {
             continue;
         }
-        const auto* const slot = directory_.slot_of(vm);
-        if ((slot == nullptr || slot->assigned.empty()) && may_order_(vm)) {
+        if ((ordered || directory_.empty(vm)) && may_order_(vm)) {
             order(vm, move);
         }
     }
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -254,6 +254,9 @@
                {"queues", std::to_string(config.queues.size())}});
     const bool first = !config_;
     config_ = std::move(config);
+    if (vms_) {
+        vms_->config_changed(*config_);
+    }
     for (auto* const target : jobs_.active()) {
         if (const auto* const queue = config_->find_queue(target->spec.queue)) {
             extend_services(*target, queue->service);
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -163,6 +163,26 @@
     EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
+// The list of VMs lags: it still named the former worker of a VM that had come back, which ran
+// nothing, and the VM was taken down although its new worker ran long-running tasks (frr-hq,
+// trouble-3
+// --seed 214866540181).
+TEST_F(fleet_changes, vm_that_has_come_back_is_not_taken_for_empty)
+{
+    fleet.vms.list_lag = 1200ms;
+    fleet.workers.fallback.duration = 600s;
+    add_vms(6, 3);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(2s);
+    ASSERT_EQ(fleet.submit(lasting_job(job_id, 5, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(5s);
+    ASSERT_EQ(tasks_at_work(5), 5);
+    fleet.request_wave(wave_of(6, 3));
+    EXPECT_LE(longest_absence(40s, 5), 3000ms);
+    EXPECT_EQ(fleet.vms.maintained(), 6);
+}
+
 // A new leader waited three seconds before any order to a VM, since it did not know to which ones
 // the former leader had given orders, while a turn went unserved (gerddi-jasmine, trouble-1).
 TEST_F(fleet_changes, new_leader_moves_vms_at_once_unless_the_former_did)
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -40,8 +40,9 @@
         return;
     }
     up.worker = "v" + std::to_string(next_worker_++);
-    auto info = workers_.add(up.worker, up.pool, up.capacity);
+    auto info = workers_.add(up.worker, up.pool, up.capacity, next_worker_);
     info.vm = vm;
+    note_state();
     callbacks_.worker_listed(info);
 }
 
@@ -54,6 +55,17 @@
         down.worker.clear();
     }
     down.state = state;
+    note_state();
+}
+
+void fake_vms::note_state()
+{
+    std::vector<fleet_vm> listed;
+    listed.reserve(vms_.size());
+    for (const auto& [name, vm] : vms_) {
+        listed.push_back(vm);
+    }
+    history_.emplace_back(timers_.now(), std::move(listed));
 }
 
 void fake_vms::judge_order(const std::string& vm, std::int64_t token)
@@ -67,11 +79,11 @@
 void fake_vms::list(std::function<void(std::optional<std::vector<fleet_vm>>)> done)
 {
     timers_.call_after(latency, [this, done = std::move(done)] {
-        std::vector<fleet_vm> listed;
-        for (const auto& [name, vm] : vms_) {
-            listed.push_back(vm);
+        note_state();
+        while (history_.size() > 1 && history_[1].first <= timers_.now() - list_lag) {
+            history_.pop_front();
         }
-        done(std::move(listed));
+        done(history_.front().second);
     });
 }
 
--- a/src/jobs/testing/fake_vms.h
+++ b/src/jobs/testing/fake_vms.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -27,6 +28,8 @@
     // Adds a VM with a worker; those in the standby pool have none.
     void add(const std::string& vm, const std::string& pool);
     std::string standby_pool;
+    // The list shows what was so long ago.
+    milliseconds list_lag{0};
 
     void list(std::function<void(std::optional<std::vector<fleet_vm>>)> done) override;
     void move(const std::string& vm, const std::string& pool, std::int64_t fencing_token,
@@ -43,6 +46,7 @@
     int most_in_maintenance() const { return most_in_maintenance_; }
 
 private:
+    void note_state();
     void judge_order(const std::string& vm, std::int64_t token);
     void take_down(const std::string& vm, vm_state state);
     void bring_up(const std::string& vm);
@@ -51,6 +55,7 @@
     fake_workers& workers_;
     callbacks callbacks_;
     std::map<std::string, fleet_vm> vms_;
+    std::deque<std::pair<net::boot_time, std::vector<fleet_vm>>> history_;
     std::set<std::pair<std::string, std::int64_t>> done_in_wave_;
     int next_worker_ = 1;
     int maintained_ = 0;
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -147,7 +147,7 @@
 }
 
 listed_worker fake_workers::add(const std::string& id, const std::string& service,
-                                task_resources capacity)
+                                task_resources capacity, std::int64_t born)
 {
     auto& worker = workers_[id];
     worker.info.id = id;
@@ -157,7 +157,7 @@
     worker.info.rack = "rack-" + id;
     worker.info.labels = {"kind", worker.info.rack};
     worker.info.capacity = capacity;
-    worker.info.born = 1;
+    worker.info.born = born;
     worker.started = timers_.now();
     return worker.info;
 }
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -38,7 +38,7 @@
 
     // Adds a worker and returns its registration.
     listed_worker add(const std::string& id, const std::string& service,
-                      task_resources capacity = {64000, 131072, 0});
+                      task_resources capacity = {64000, 131072, 0}, std::int64_t born = 1);
     // The worker's process dies, with all that it runs.
     void crash(const std::string& id);
     // It starts again under the same id.
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -10,6 +10,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto read_interval = 400ms;
+// Longer than the list lags and than a VM takes to come back with another worker.
+constexpr auto settled_after = 3500ms;
 
 } // namespace
 
@@ -52,18 +54,47 @@
 
 worker_slot* vm_directory::slot_of(const std::string& vm)
 {
-    const auto* const listed = find(vm);
-    if (listed != nullptr && !listed->worker.empty()) {
-        if (auto* const slot = runner_.find_slot(listed->worker)) {
-            return slot;
+    worker_slot* newest = nullptr;
+    for (auto& [worker, slot] : runner_.slots()) {
+        if (slot.info().vm == vm && slot.listed && !slot.session->dead() &&
+            (newest == nullptr || slot.info().born > newest->info().born)) {
+            newest = &slot;
         }
     }
-    for (auto& [worker, slot] : runner_.slots()) {
-        if (slot.listed && slot.info().vm == vm) {
-            return &slot;
+    if (newest != nullptr) {
+        return newest;
+    }
+    const auto* const listed = find(vm);
+    return listed == nullptr || listed->worker.empty() ? nullptr
+                                                       : runner_.find_slot(listed->worker);
+}
+
+bool vm_directory::empty(const std::string& vm)
+{
+    const auto* const listed = find(vm);
+    if (listed == nullptr) {
+        return false;
+    }
+    const auto* const slot = slot_of(vm);
+    if (slot != nullptr && slot->listed && !slot->session->dead()) {
+        return slot->assigned.empty();
+    }
+    if (standby_pools_.count(listed->pool) != 0 || listed->worker.empty()) {
+        return true;
+    }
+    // Its worker has gone: nothing runs there once that is old news.
+    return slot != nullptr && slot->assigned.empty() && !slot->listed &&
+           timers_.now() > slot->unlisted_at + settled_after;
+}
+
+void vm_directory::config_changed(const fleet_config& config)
+{
+    standby_pools_.clear();
+    for (const auto& service : config.services) {
+        if (service.standby) {
+            standby_pools_.insert(service.name);
         }
     }
-    return nullptr;
 }
 
 } // namespace jl::jobs
--- a/src/jobs/vm_directory.h
+++ b/src/jobs/vm_directory.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,13 +28,19 @@
 
     const std::vector<fleet_vm>& vms() const { return vms_; }
     const fleet_vm* find(const std::string& vm) const;
-    // The worker on a VM; null if it has none that is known.
+    // The worker on a VM; null if it has none that is known. The list lags: the worker that has
+    // registered itself last goes before the one that the list names.
     worker_slot* slot_of(const std::string& vm);
+    // True if certainly nothing runs on the VM. A VM may have come back with a worker that already
+    // runs tasks while the list still names its former one.
+    bool empty(const std::string& vm);
+    void config_changed(const fleet_config& config);
 
 private:
     net::timer_service& timers_;
     vm_port& port_;
     task_runner& runner_;
+    std::set<std::string> standby_pools_;
     std::vector<fleet_vm> vms_;
     net::boot_time listed_at_{};
     net::boot_time next_read_{};
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -210,10 +210,8 @@
         if (vm.phase != wave_phase::emptying || down >= wave.request.max_concurrent) {
             continue;
         }
-        const auto* const slot = directory_.slot_of(name);
         const auto* const listed = directory_.find(name);
-        const bool empty = slot == nullptr || slot->assigned.empty();
-        if (empty && listed != nullptr && listed->state == vm_state::up && may_order_(name)) {
+        if (directory_.empty(name) && listed->state == vm_state::up && may_order_(name)) {
             ++down;
             vm.phase = wave_phase::ordered;
             order_maintenance(wave, name);
