--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -183,6 +183,29 @@
     EXPECT_EQ(fleet.vms.maintained(), 6);
 }
 
+// A worker whose registration has lapsed, as while the store loses writes, still runs its tasks:
+// its VM was taken for empty, and several tasks of one step were ended at once.
+TEST_F(fleet_changes, vm_whose_worker_is_not_registered_is_not_taken_for_empty)
+{
+    fleet.workers.fallback.duration = 600s;
+    add_vms(4, 3);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(2s);
+    ASSERT_EQ(fleet.submit(lasting_job(job_id, 4, 2)), submit_outcome::accepted);
+    fleet.timers.run_for(5s);
+    ASSERT_EQ(tasks_at_work(4), 4);
+    const auto worker = fleet.workers.worker_of(job_id + ".0.0.0");
+    fleet.vms.nameless.insert(fleet.documents.workers.at(worker).vm);
+    fleet.unlist_worker(worker);
+    auto wave = wave_of(4, 4);
+    wave.vms.push_back("s0");
+    wave.vms.push_back("s1");
+    wave.vms.push_back("s2");
+    fleet.request_wave(wave);
+    longest_absence(20s, 4); // expects that never two tasks are away
+}
+
 // A new leader waited three seconds before any order to a VM, since it did not know to which ones
 // the former leader had given orders, while a turn went unserved (gerddi-jasmine, trouble-1).
 TEST_F(fleet_changes, new_leader_moves_vms_at_once_unless_the_former_did)
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -64,6 +64,9 @@
     listed.reserve(vms_.size());
     for (const auto& [name, vm] : vms_) {
         listed.push_back(vm);
+        if (nameless.count(name) != 0) {
+            listed.back().worker.clear();
+        }
     }
     history_.emplace_back(timers_.now(), std::move(listed));
 }
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -75,6 +75,12 @@
     if (listed == nullptr) {
         return false;
     }
+    for (const auto& [worker, slot] : runner_.slots()) {
+        // Also a worker whose registration has lapsed may run tasks.
+        if (slot.info().vm == vm && !slot.assigned.empty()) {
+            return false;
+        }
+    }
     const auto* const slot = slot_of(vm);
     if (slot != nullptr && slot->listed && !slot->session->dead()) {
         return slot->assigned.empty();
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -34,7 +34,7 @@
       store_(store),
       documents_(documents),
       runner_(runner),
-      leader_(leader),
+      leader_(std::move(leader)),
       may_order_(std::move(may_order)),
       may_act_(std::move(may_act)),
       may_relocate_(std::move(may_relocate))
