--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -286,6 +286,26 @@
     expect_no_violation(fleet);
 }
 
+// While records cannot be written, a submission is refused at once, truthfully, rather than held until
+// its caller's deadline (incident of frr-hq).
+TEST(engine, submission_is_refused_at_once_while_records_cannot_be_written)
+{
+    test_fleet fleet;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto& store = fleet.nodes.at("a")->store();
+    store.mode = store_mode::refusing;
+    fleet.leader()->submit(make_job(job_id, 1, 1), [](submit_outcome) {});
+    fleet.timers.run_for(100ms);
+    const std::string refused = "00000000000000a2";
+    EXPECT_EQ(fleet.submit(make_job(refused, 1, 1), 10ms), submit_outcome::unavailable);
+    store.mode = store_mode::serving;
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 5s));
+    fleet.timers.run_for(5s);
+    EXPECT_EQ(fleet.workers.starts(refused + ".0.0.0"), 0);
+    EXPECT_FALSE(fleet.leader()->state(refused));
+}
+
 // Orders wait while no worker has room; none is sent to be rejected.
 TEST(engine, starts_only_what_fits)
 {
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -199,9 +199,9 @@
     fleet.vms.nameless.insert(fleet.documents.workers.at(worker).vm);
     fleet.unlist_worker(worker);
     auto wave = wave_of(4, 4);
-    wave.vms.push_back("s0");
-    wave.vms.push_back("s1");
-    wave.vms.push_back("s2");
+    wave.vms.emplace_back("s0");
+    wave.vms.emplace_back("s1");
+    wave.vms.emplace_back("s2");
     fleet.request_wave(wave);
     longest_absence(20s, 4); // expects that never two tasks are away
 }
