--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -286,8 +286,8 @@
     expect_no_violation(fleet);
 }
 
-// While records cannot be written, a submission is refused at once, truthfully, rather than held until
-// its caller's deadline (incident of frr-hq).
+// While records cannot be written, a submission is refused at once, truthfully, rather than held
+// until its caller's deadline (incident of frr-hq).
 TEST(engine, submission_is_refused_at_once_while_records_cannot_be_written)
 {
     test_fleet fleet;
