--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -588,9 +588,15 @@
     }
 }
 
-void engine::task_released(task& released, const char* reason)
+void engine::ticket_rejected(task& refused)
+{
+    if (advice_) {
+        advice_->reject(step_name(refused), refused.worker);
+    }
+}
+
+void engine::task_released(task& released)
 {
-    (void)reason;
     if (released.spec().gang) {
         release_gang(released);
     }
@@ -786,6 +792,7 @@
             continue;
         }
         if (jobs_.active().erase(target.get()) != 0) {
+            forget_advice(*target);
             target->occurrences.clear();
             target->spec.payload.clear();
             target->spec.steps.clear();
@@ -800,6 +807,20 @@
     }
 }
 
+void engine::forget_advice(const job& ended)
+{
+    if (!advice_) {
+        return;
+    }
+    for (const auto& occurrence : ended.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (!step.tasks.empty()) {
+                advice_->forget(step_name(step.tasks.front()));
+            }
+        }
+    }
+}
+
 // Long-running tasks leave a worker that is about to go.
 void engine::relocate_from_draining()
 {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -79,7 +79,8 @@
 private:
     std::int64_t task_done(task& ended) override;
     std::int64_t task_failed(task& ended, std::int64_t run) override;
-    void task_released(task& released, const char* reason) override;
+    void task_released(task& released) override;
+    void ticket_rejected(task& refused) override;
     void worker_reported(worker_slot& slot) override;
     void workers_changed() override;
     void fenced(const std::string& worker) override;
@@ -111,6 +112,7 @@
     void begin_due_occurrences();
     void resolve_tasks();
     void retire_finished();
+    void forget_advice(const job& ended);
     void relocate_from_draining();
     void control_pace(worker_slot& slot);
     void make_vm_managers();
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -306,6 +306,23 @@
     EXPECT_FALSE(fleet.leader()->state(refused));
 }
 
+// A queue whose steps only some workers may run: the advisor names them.
+TEST(engine, steps_run_only_where_the_advisor_allows)
+{
+    test_fleet fleet;
+    fleet.documents.config.queues[0].needs_advice = true;
+    fleet.documents.config.queues[0].ticket_validity = 3000ms;
+    fleet.advisor.allowed = {"w2"};
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 2)), submit_outcome::accepted);
+    fleet.timers.run_for(300ms);
+    EXPECT_EQ(fleet.workers.worker_of(job_id + ".0.0.0"), "w2");
+    EXPECT_EQ(fleet.workers.worker_of(job_id + ".0.0.1"), "w2");
+    EXPECT_EQ(fleet.advisor.questions, 1);
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 5s));
+}
+
 // Orders wait while no worker has room; none is sent to be rejected.
 TEST(engine, starts_only_what_fits)
 {
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -75,12 +75,6 @@
     return target.phase == task_phase::waiting && target.not_before <= now;
 }
 
-std::string step_name(const task& target)
-{
-    return target.owner->spec.id + '.' + std::to_string(target.occurrence) + '.' +
-           std::to_string(target.step);
-}
-
 bool has_waiting_task(const job& target, net::boot_time now)
 {
     for (const auto& occurrence : target.occurrences) {
@@ -97,6 +91,12 @@
 
 } // namespace
 
+std::string step_name(const task& target)
+{
+    return target.owner->spec.id + '.' + std::to_string(target.occurrence) + '.' +
+           std::to_string(target.step);
+}
+
 double remaining_core_seconds(const job& target)
 {
     double total = 0;
@@ -278,7 +278,7 @@
         return;
     }
     for (auto* const task : waiting) {
-        if (!start_one(*task, progress, queue, pool)) {
+        if (!start_one(*task, queue, pool)) {
             return; // the tasks of a step are equal: no other one fits either
         }
     }
@@ -320,8 +320,7 @@
     return true;
 }
 
-bool job_scheduler::start_one(task& target, const step_progress&, const queue_config& queue,
-                              pool_pass& pool)
+bool job_scheduler::start_one(task& target, const queue_config& queue, pool_pass& pool)
 {
     const auto demand = demand_of(target);
     if (!queue.needs_advice || advice_ == nullptr) {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -33,8 +33,7 @@
     void start_step(job& target, occurrence_progress& occurrence, std::size_t step,
                     const queue_config& queue, pool_pass& pool);
     bool start_gang(std::vector<task*>& members, const step_progress& step, pool_pass& pool);
-    bool start_one(task& target, const step_progress& step, const queue_config& queue,
-                   pool_pass& pool);
+    bool start_one(task& target, const queue_config& queue, pool_pass& pool);
     void reserve(const decisions::task_demand& demand, pool_pass& pool);
     void launch(task& target, std::size_t worker, const std::string& ticket, pool_pass& pool);
 
@@ -44,6 +43,9 @@
     advice_book* advice_;
 };
 
+// Name of the task's step towards the advisor: JOB.OCCURRENCE.STEP.
+std::string step_name(const task& target);
+
 // Work left in a job, in core-seconds, and the longest chain of it.
 double remaining_core_seconds(const job& target);
 milliseconds remaining_chain(const job& target);
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -224,6 +224,9 @@
         slot->unhealthy_until = now + unhealthy_pause;
         note_failure(*slot);
         break;
+    case order_status::ticket_rejected:
+        events_.ticket_rejected(*target);
+        break;
     case order_status::rejected:
         target->not_before = now + rejected_pause;
         break;
@@ -238,7 +241,7 @@
     default:
         break;
     }
-    release(*target, to_string(result.status));
+    release(*target);
 }
 
 void task_runner::retry_start(task& target)
@@ -361,13 +364,13 @@
     target.worker.clear();
 }
 
-void task_runner::release(task& target, const char* reason)
+void task_runner::release(task& target)
 {
     detach(target);
     target.phase = task_phase::waiting;
     target.percent = 0;
     target.changed = timers_.now();
-    events_.task_released(target, reason);
+    events_.task_released(target);
 }
 
 // --- Reports -----------------------------------------------------------------------------------
@@ -399,7 +402,7 @@
                    {"reason", reason}});
     }
     for (auto* const target : lost) {
-        release(*target, reason);
+        release(*target);
     }
     events_.workers_changed();
 }
@@ -472,7 +475,7 @@
     }
     // A task of a former leader may run elsewhere under a later number: it stays unresolved.
     if (ours && target->on_worker()) {
-        release(*target, to_string(end.kind));
+        release(*target);
     }
     return version;
 }
@@ -550,7 +553,9 @@
         }
     }
     for (auto* const target : vanished) {
-        release(*target, "the worker no longer lists it");
+        log_event(log_level::warning, "task.vanished",
+                  {{"task", target->name().to_string()}, {"worker", slot.info().id}});
+        release(*target);
     }
 }
 
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -25,7 +25,8 @@
     virtual std::int64_t task_done(task& ended) = 0;
     virtual std::int64_t task_failed(task& ended, std::int64_t run) = 0;
     // The task runs nowhere and waits again.
-    virtual void task_released(task& released, const char* reason) = 0;
+    virtual void task_released(task& released) = 0;
+    virtual void ticket_rejected(task& refused) = 0;
     // The worker has told what runs on it.
     virtual void worker_reported(worker_slot& slot) = 0;
     virtual void workers_changed() = 0;
@@ -113,7 +114,7 @@
     void send_stop(const task_name& name, std::int64_t run, const std::string& worker);
     void stop_stray(worker_slot& slot, const task_name& name, std::int64_t run);
     task* current(const task_name& name, std::int64_t run, const std::string& worker);
-    void release(task& target, const char* reason);
+    void release(task& target);
     void apply_ends(worker_slot& slot, const hold_report& report);
     std::int64_t apply_end(worker_slot& slot, const ended_task& end);
     void apply_running(worker_slot& slot, const hold_report& report);
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -13,18 +13,21 @@
 } // namespace
 
 test_node::test_node(net::timer_service& timers, fake_store& store, fake_workers& workers,
-                     fake_vms& vms, const test_documents& documents, const std::string& name)
+                     fake_vms& vms, fake_advisor& advisor, const test_documents& documents,
+                     const std::string& name)
     : store_(store.connect())
 {
     leadership_settings settings;
     settings.node = name;
     settings.address = {"10.0.0.9", 1};
     leadership::callbacks callbacks;
-    callbacks.elected = [this, &timers, &workers, &vms, &documents](const leader_record& leader) {
+    callbacks.elected = [this, &timers, &workers, &vms, &advisor,
+                         &documents](const leader_record& leader) {
         engine_ports ports;
         ports.store = &store_;
         ports.workers = &workers;
         ports.vms = &vms;
+        ports.advisor = &advisor;
         ports.documents = &documents;
         ports.metrics = &metrics_;
         engine_settings settings;
@@ -72,7 +75,7 @@
 test_node& test_fleet::add_node(const std::string& name)
 {
     auto& node = nodes[name];
-    node = std::make_unique<test_node>(timers, store, workers, vms, documents, name);
+    node = std::make_unique<test_node>(timers, store, workers, vms, advisor, documents, name);
     return *node;
 }
 
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,11 +48,36 @@
     std::string worker_prefix() const override { return "servers/"; }
 };
 
+// Advises by a fixed list of workers; tickets are "ticket-WORKER".
+class fake_advisor final : public advice_port {
+public:
+    explicit fake_advisor(net::timer_service& timers) : timers_(timers) {}
+    std::set<std::string> allowed;
+    int questions = 0;
+
+    void ask(const std::string&, const std::vector<std::string>& workers,
+             std::function<void(const advice_result&)> done) override
+    {
+        ++questions;
+        advice_result result;
+        result.allowed.emplace();
+        for (const auto& worker : workers) {
+            if (allowed.count(worker) != 0) {
+                result.allowed->push_back({worker, "ticket-" + worker});
+            }
+        }
+        timers_.call_after(std::chrono::milliseconds(20), [result, done] { done(result); });
+    }
+
+private:
+    net::timer_service& timers_;
+};
+
 // One process: stands for election and runs the engine while it leads.
 class test_node {
 public:
     test_node(net::timer_service& timers, fake_store& store, fake_workers& workers, fake_vms& vms,
-              const test_documents& documents, const std::string& name);
+              fake_advisor& advisor, const test_documents& documents, const std::string& name);
     ~test_node();
     test_node(const test_node&) = delete;
     test_node& operator=(const test_node&) = delete;
@@ -101,6 +127,7 @@
                  workers,
                  {[this](const listed_worker& info) { list_worker(info); },
                   [this](const std::string& worker) { unlist_worker(worker); }}};
+    fake_advisor advisor{timers};
     test_documents documents;
     std::map<std::string, std::unique_ptr<test_node>> nodes;
 };
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -60,7 +60,7 @@
     const auto born = born_;
     info_ = info;
     if (info.born > born && born != 0) {
-        note_result(order_result{order_status::accepted, std::nullopt, info.born}, timers_.now());
+        note_result(order_result{order_status::accepted, std::nullopt, info.born});
     }
 }
 
@@ -154,7 +154,7 @@
     }
     failures_ = 0;
     contacted_ = true;
-    note_result(report.result, asked);
+    note_result(report.result);
     if (!*alive) {
         return;
     }
@@ -184,7 +184,7 @@
     }
 }
 
-void worker_session::note_result(const order_result& result, net::boot_time asked)
+void worker_session::note_result(const order_result& result)
 {
     if (result.born != 0 && born_ != 0 && result.born != born_) {
         if (result.born < born_) {
@@ -204,7 +204,6 @@
         born_ = result.born;
     }
     if (result.worker_clock && (!clock_ || timers_.now() > clock_read_)) {
-        (void)asked;
         clock_ = result.worker_clock;
         clock_read_ = timers_.now();
     }
@@ -267,13 +266,12 @@
     }
     order.lease_until = *until;
     order.fencing_token = token_;
-    const auto asked = timers_.now();
     port_->start(order, timeout,
-                 [this, asked, alive = alive_, done = std::move(done)](const order_result& result) {
+                 [this, alive = alive_, done = std::move(done)](const order_result& result) {
                      if (!*alive) {
                          return;
                      }
-                     note_result(result, asked);
+                     note_result(result);
                      if (*alive) {
                          done(result);
                      }
@@ -287,13 +285,12 @@
                           std::function<void(const order_result&)> done)
 {
     order.fencing_token = token_;
-    const auto asked = timers_.now();
     port_->stop(order, timeout,
-                [this, asked, alive = alive_, done = std::move(done)](const order_result& result) {
+                [this, alive = alive_, done = std::move(done)](const order_result& result) {
                     if (!*alive) {
                         return;
                     }
-                    note_result(result, asked);
+                    note_result(result);
                     if (*alive) {
                         done(result);
                     }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -89,7 +89,7 @@
     void hold();
     void on_hold(const hold_report& report, net::boot_time asked);
     void schedule_hold(std::chrono::nanoseconds delay);
-    void note_result(const order_result& result, net::boot_time asked);
+    void note_result(const order_result& result);
     void note_failure(const char* reason);
     void check_lapse();
     std::optional<milliseconds> next_lease();
