End no worker's session because of an answer about its VM

The answer came late, or the order had been carried out before and changed nothing, so the worker was a live one with tasks, which were started again elsewhere while they ran. Ruled out: lapsed leases and late starts (worker.tasks_lost names the order). A worker that a wave had been at before was also left without tasks. Sessions end by themselves now. Both tests fail without the change.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -114,6 +114,11 @@
         const bool arrived = ordered && !move.open && seen_since && vm != nullptr &&
                              vm->pool == move.to && vm->state == vm_state::up;
         const bool lost = ordered && now > move.ordered_at + arrival_limit;
+        if (lost) {
+            if (auto* const slot = directory_.slot_of(next->first)) {
+                slot->retiring = false;
+            }
+        }
         next = vm == nullptr || arrived || lost ? moves_.erase(next) : std::next(next);
     }
 }
@@ -385,9 +390,6 @@
         if (status == vm_order_status::accepted) {
             found->second.open = false;
             found->second.ordered_at = timers_.now();
-            if (auto* const slot = directory_.slot_of(vm)) {
-                runner_.worker_ended(*slot);
-            }
             return;
         }
         if (status == vm_order_status::unanswered) {
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -206,6 +206,53 @@
     longest_absence(20s, 4); // expects that never two tasks are away
 }
 
+// The answer to an order came when the VM was back with a new worker, whose session was then ended
+// as if it were the former one's: its tasks were started again elsewhere while they ran
+// (gerddi-jasmine-grown, trouble-3, TWICE and LOST).
+TEST_F(fleet_changes, late_answer_to_an_order_does_not_touch_the_new_worker)
+{
+    fleet.vms.answer_delay = 2300ms;
+    add_vms(4, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    fleet.request_wave(wave_of(4, 2));
+    for (int number = 0; number < 150; ++number) {
+        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 4),
+                               [](submit_outcome) {});
+        fleet.timers.run_for(100ms);
+    }
+    fleet.timers.run_for(5s);
+    EXPECT_EQ(fleet.vms.maintained(), 4);
+    for (const auto& violation : fleet.workers.violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
+// An order for a VM that the wave has been at before changes nothing: its worker goes on, and was
+// left without tasks for good.
+TEST_F(fleet_changes, workers_are_used_again_after_a_repeated_wave_order)
+{
+    add_vms(3, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    fleet.timers.run_for(500ms);
+    fleet.request_wave(wave_of(3, 3));
+    fleet.timers.run_for(400ms); // all are down, none is recorded as done
+    fleet.kill("a");
+    fleet.timers.run_for(20s);
+    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+    const int in_pool = fleet.vms.vms_in("rounds");
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 48)), submit_outcome::accepted);
+    fleet.timers.run_for(600ms);
+    int used = 0;
+    for (const auto& [worker, info] : fleet.documents.workers) {
+        used += fleet.workers.running(worker) > 0 ? 1 : 0;
+    }
+    EXPECT_GE(used, in_pool);
+}
+
 // A new leader waited three seconds before any order to a VM, since it did not know to which ones
 // the former leader had given orders, while a turn went unserved (gerddi-jasmine, trouble-1).
 TEST_F(fleet_changes, new_leader_moves_vms_at_once_unless_the_former_did)
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -92,11 +92,6 @@
     }
 }
 
-void task_runner::worker_ended(worker_slot& slot)
-{
-    slot.session->end();
-}
-
 bool task_runner::forget_unlisted()
 {
     bool any = false;
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -81,8 +81,6 @@
     // Adds the worker or takes over its new registration.
     void worker_listed(const listed_worker& info, bool from_roster);
     void worker_unlisted(const std::string& worker);
-    // The worker's process has ended by our order.
-    void worker_ended(worker_slot& slot);
     // Forgets workers that are not registered and run nothing. Returns true if any was.
     bool forget_unlisted();
 
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -106,7 +106,7 @@
             moved.pool = pool;
             timers_.call_after(move_time, [this, vm] { bring_up(vm); });
         }
-        done(vm_order_status::accepted);
+        timers_.call_after(answer_delay, [done] { done(vm_order_status::accepted); });
     });
 }
 
@@ -133,7 +133,7 @@
             ++maintained_;
             bring_up(vm);
         });
-        done(vm_order_status::accepted);
+        timers_.call_after(answer_delay, [done] { done(vm_order_status::accepted); });
     });
 }
 
--- a/src/jobs/testing/fake_vms.h
+++ b/src/jobs/testing/fake_vms.h
@@ -28,6 +28,8 @@
     // Adds a VM with a worker; those in the standby pool have none.
     void add(const std::string& vm, const std::string& pool);
     std::string standby_pool;
+    // Orders are carried out at once and answered after this time.
+    milliseconds answer_delay{5};
     // VMs whose worker the list does not name.
     std::set<std::string> nameless;
     // The list shows what was so long ago.
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -124,6 +124,9 @@
             listed->state == vm_state::up) {
             vm.phase = wave_phase::finished;
             wave.status_written = false; // the record names it
+            if (auto* const slot = directory_.slot_of(name)) {
+                slot->retiring = false; // the same worker, if the wave had been there before
+            }
         }
         if (listed == nullptr && vm.phase != wave_phase::finished) {
             vm.phase = wave_phase::finished; // it has left the fleet
@@ -240,9 +243,6 @@
             if (status == vm_order_status::accepted) {
                 vm.order_open = false;
                 vm.ordered_at = timers_.now();
-                if (auto* const slot = directory_.slot_of(name)) {
-                    runner_.worker_ended(*slot);
-                }
             }
             else if (status == vm_order_status::busy || status == vm_order_status::throttled) {
                 vm.phase = wave_phase::emptying;
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -235,13 +235,6 @@
     }
 }
 
-void worker_session::end()
-{
-    if (!dead_) {
-        lose("its VM was taken away by our order");
-    }
-}
-
 void worker_session::lose(const char* reason)
 {
     dead_ = true;
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -54,9 +54,6 @@
     // with another address, for which a new session is needed.
     void update(const listed_worker& info);
 
-    // The worker's process has ended by our order.
-    void end();
-
     // Asks for the lists now; sent as soon as the last request for them has been answered.
     void look();
 
