Give the forecast of arrivals a name of its own

Cause: the address sanitizer found two classes jl::decisions::demand_forecast, one in capacity.h, so that the test program used one's constructor on the other's storage. Ruled out: the new class by itself; jl-node does not link capacity.cpp, so its runs were not affected. decisions_test under the sanitizers: failed before, passes now.

--- a/src/decisions/demand_forecast.cpp
+++ b/src/decisions/arrival_forecast.cpp
@@ -1,4 +1,4 @@
-#include "decisions/demand_forecast.h"
+#include "decisions/arrival_forecast.h"
 
 #include <algorithm>
 
@@ -8,18 +8,18 @@
 
 using namespace std::chrono_literals;
 
-constexpr demand_forecast::time window = 1000ms;
+constexpr arrival_forecast::time window = 1000ms;
 // Fewer arrivals than this in a window tell nothing of a trend: sizes of jobs differ widely.
 constexpr int least_arrivals_for_trend = 3;
 
-double seconds(demand_forecast::time span)
+double seconds(arrival_forecast::time span)
 {
     return std::chrono::duration<double>(span).count();
 }
 
 } // namespace
 
-void demand_forecast::note_arrival(const std::string& pool, time now, double vm_seconds)
+void arrival_forecast::note_arrival(const std::string& pool, time now, double vm_seconds)
 {
     auto& arrivals = recent_[pool];
     arrivals.push_back({now, vm_seconds});
@@ -28,7 +28,7 @@
     }
 }
 
-double demand_forecast::forecast(const std::string& pool, time now, time lead) const
+double arrival_forecast::forecast(const std::string& pool, time now, time lead) const
 {
     const auto found = recent_.find(pool);
     if (found == recent_.end()) {
--- a/src/decisions/demand_forecast.h
+++ b/src/decisions/arrival_forecast.h
@@ -13,10 +13,10 @@
 // times its mean within two or three seconds, about as long as a VM takes to come, so the growth is
 // carried on for that time.
 //
-//   demand_forecast demand;
+//   arrival_forecast demand;
 //   demand.note_arrival("rounds", now, 0.6);
 //   double vms = demand.forecast("rounds", now, 1500ms);
-class demand_forecast {
+class arrival_forecast {
 public:
     using time = std::chrono::nanoseconds; // since any fixed moment
 
--- a/src/decisions/job_decisions_test.cpp
+++ b/src/decisions/job_decisions_test.cpp
@@ -5,7 +5,7 @@
 
 #include <gtest/gtest.h>
 
-#include "decisions/demand_forecast.h"
+#include "decisions/arrival_forecast.h"
 #include "decisions/filler_pace.h"
 #include "decisions/job_order.h"
 #include "decisions/pool_sizing.h"
@@ -139,9 +139,9 @@
 }
 
 // The growth of a turn's beginning is carried on for the time that a VM takes to come.
-TEST(demand_forecast, carries_growth_on)
+TEST(arrival_forecast, carries_growth_on)
 {
-    demand_forecast demand;
+    arrival_forecast demand;
     for (int number = 0; number < 4; ++number) {
         demand.note_arrival("rounds", 1100ms + number * 200ms, 1.0);
     }
@@ -151,9 +151,9 @@
     EXPECT_DOUBLE_EQ(demand.forecast("crews", 2s, 1500ms), 0.0);
 }
 
-TEST(demand_forecast, one_large_job_is_no_trend)
+TEST(arrival_forecast, one_large_job_is_no_trend)
 {
-    demand_forecast demand;
+    arrival_forecast demand;
     demand.note_arrival("rounds", 2s, 5.0);
     EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2s, 1500ms), 5.0);
 }
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "decisions/demand_forecast.h"
+#include "decisions/arrival_forecast.h"
 #include "decisions/pool_sizing.h"
 #include "jobs/job_table.h"
 #include "jobs/ports.h"
@@ -83,7 +83,7 @@
     std::function<bool(const std::string&)> may_order_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
-    decisions::demand_forecast demand_;
+    decisions::arrival_forecast demand_;
     std::map<std::string, vm_move> moves_;                                           // by VM
     std::map<std::string, std::deque<std::pair<net::boot_time, int>>> recent_sizes_; // by pool
     std::map<std::string, int> told_sizes_;                                          // by pool
