--- a/src/jobs/availability.cpp
+++ b/src/jobs/availability.cpp
@@ -25,17 +25,11 @@
 {
     const auto& spec = target.spec();
     const int allowed = spec.max_unavailable > 0 ? spec.max_unavailable : default_max_unavailable;
-    for (const auto& occurrence : target.owner->occurrences) {
-        if (occurrence.number != target.occurrence) {
-            continue;
-        }
-        const auto& tasks = occurrence.steps[static_cast<std::size_t>(target.step)].tasks;
-        const auto away = std::count_if(tasks.begin(), tasks.end(), [&](const task& other) {
-            return &other != &target && !at_work(other, runner);
-        });
-        return away < allowed;
-    }
-    return true;
+    const auto& tasks = target.siblings->tasks;
+    const auto away = std::count_if(tasks.begin(), tasks.end(), [&](const task& other) {
+        return &other != &target && !at_work(other, runner);
+    });
+    return away < allowed;
 }
 
 } // namespace jl::jobs
--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -113,9 +113,7 @@
                              vm->pool == move.to && vm->state == vm_state::up;
         const bool lost = ordered && now > move.ordered_at + arrival_limit;
         if (lost) {
-            if (auto* const slot = directory_.slot_of(next->first)) {
-                slot->retiring = false;
-            }
+            give_back(next->first);
         }
         next = vm == nullptr || arrived || lost ? moves_.erase(next) : std::next(next);
     }
@@ -255,9 +253,7 @@
             ++next;
             continue;
         }
-        if (auto* const slot = directory_.slot_of(next->first)) {
-            slot->retiring = false;
-        }
+        give_back(next->first);
         next = moves_.erase(next);
         --count;
     }
@@ -310,6 +306,14 @@
     }
 }
 
+// Lets the VM's worker take tasks again.
+void capacity_manager::give_back(const std::string& vm)
+{
+    if (auto* const slot = directory_.slot_of(vm)) {
+        slot->retiring = false;
+    }
+}
+
 void capacity_manager::begin_move(const std::string& vm, const std::string& from,
                                   const std::string& to)
 {
@@ -396,9 +400,7 @@
         }
         refused_until_[vm] =
             timers_.now() + (status == vm_order_status::rejected ? refusal_pause : 500ms);
-        if (auto* const slot = directory_.slot_of(vm)) {
-            slot->retiring = false;
-        }
+        give_back(vm);
         moves_.erase(found);
     });
 }
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -66,6 +66,7 @@
     void begin_move(const std::string& vm, const std::string& from, const std::string& to);
     void log_changes(const std::vector<decisions::pool_state>& pools,
                      const std::vector<int>& sizes);
+    void give_back(const std::string& vm);
     int largest_recent_size(const std::string& pool, int size);
     void call_off(const std::string& pool, int count);
     std::vector<std::string> candidates(const std::string& pool);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -260,11 +260,10 @@
         if (const auto* const queue = config_->find_queue(target->spec.queue)) {
             extend_services(*target, queue->service);
             if (first) {
-                target->objective +=
-                    queue->latency_objective + std::chrono::duration_cast<milliseconds>(
-                                                   longest_chain(target->spec) * queue->stretch);
+                target->objective += objective_of(*queue, target->spec);
             }
         }
+        fail_exhausted(*target); // the attempts allowed may have changed
     }
     tick_soon();
 }
@@ -442,9 +441,7 @@
     const auto* const queue = config_->find_queue(spec.queue);
     auto& target = jobs_.insert(std::move(spec));
     target.accepted = timers_.wall_now();
-    target.objective =
-        timers_.now() + queue->latency_objective +
-        std::chrono::duration_cast<milliseconds>(longest_chain(target.spec) * queue->stretch);
+    target.objective = timers_.now() + objective_of(*queue, target.spec);
     target.services = {queue->service};
     if (!target.spec.timed()) {
         begin_occurrence(target);
@@ -509,24 +506,19 @@
 std::int64_t engine::task_done(task& ended)
 {
     auto& target = *ended.owner;
-    for (auto& occurrence : target.occurrences) {
-        if (occurrence.number != ended.occurrence) {
-            continue;
-        }
-        auto& step = occurrence.steps[static_cast<std::size_t>(ended.step)];
-        if (ended.spec().gang) {
-            // One end stands for all members.
-            for (auto& member : step.tasks) {
-                runner_->detach(member);
-                member.phase = task_phase::done;
-            }
-            step.done = static_cast<int>(step.tasks.size());
-        }
-        else {
-            ++step.done;
+    auto& step = *ended.siblings;
+    if (ended.spec().gang) {
+        // One end stands for all members.
+        for (auto& member : step.tasks) {
+            runner_->detach(member);
+            member.phase = task_phase::done;
         }
-        step.done_version = target.version + 1;
+        step.done = static_cast<int>(step.tasks.size());
     }
+    else {
+        ++step.done;
+    }
+    step.done_version = target.version + 1;
     target.any_started = true;
     const auto version = record_change(target);
     settle_occurrence(target);
@@ -605,14 +597,9 @@
 // The other members of a gang wait in vain for one that has ended.
 void engine::release_gang(task& member)
 {
-    for (auto& occurrence : member.owner->occurrences) {
-        if (occurrence.number != member.occurrence) {
-            continue;
-        }
-        for (auto& other : occurrence.steps[static_cast<std::size_t>(member.step)].tasks) {
-            if (&other != &member) {
-                runner_->stop(other, "another member of its gang has ended");
-            }
+    for (auto& other : member.siblings->tasks) {
+        if (&other != &member) {
+            runner_->stop(other, "another member of its gang has ended");
         }
     }
 }
@@ -683,9 +670,6 @@
     }
     begin_due_occurrences();
     resolve_tasks();
-    for (auto* const target : jobs_.active()) {
-        fail_exhausted(*target);
-    }
     scheduler_->pass(*config_);
 }
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -73,9 +73,6 @@
     void cancel(const std::string& id, std::function<void(cancel_outcome)> done) override;
     std::size_t waiting(const std::string& queue) const override;
 
-    job_table& jobs() { return jobs_; }
-    task_runner& runner() { return *runner_; }
-
 private:
     std::int64_t task_done(task& ended) override;
     std::int64_t task_failed(task& ended, std::int64_t run) override;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -133,7 +133,6 @@
     std::vector<worker_slot*> slots; // of the rooms, in the same order
     std::vector<std::string> workers;
     net::boot_time now;
-    bool full = false;
 
     // Counts the tasks of the step on each worker for the placement.
     void count_step(const step_progress& step)
@@ -196,11 +195,7 @@
         return false;
     }
     auto pool = look_at_pool(queue->service);
-    for (const auto& occurrence : target.owner->occurrences) {
-        if (occurrence.number == target.occurrence) {
-            pool.count_step(occurrence.steps[static_cast<std::size_t>(target.step)]);
-        }
-    }
+    pool.count_step(*target.siblings);
     for (auto& room : pool.rooms) {
         if (room.worker == target.worker) {
             room.free_memory_mb = -1;
@@ -220,9 +215,7 @@
     for (std::size_t index = 0; index < jobs.size(); ++index) {
         const auto& target = *jobs[index];
         const auto* const queue = config.find_queue(target.spec.queue);
-        const auto objective =
-            queue->latency_objective +
-            std::chrono::duration_cast<milliseconds>(longest_chain(target.spec) * queue->stretch);
+        const auto objective = objective_of(*queue, target.spec);
         decisions::job_demand demand;
         demand.job = index;
         demand.priority = queue->priority;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -31,7 +31,7 @@
 
 occurrence_progress& begin_occurrence(job& target)
 {
-    occurrence_progress occurrence;
+    auto& occurrence = target.occurrences.emplace_back(); // in place: tasks point into it
     occurrence.number = target.next_occurrence++;
     occurrence.steps.resize(target.spec.steps.size());
     for (std::size_t step = 0; step < target.spec.steps.size(); ++step) {
@@ -40,13 +40,13 @@
         for (std::size_t index = 0; index < progress.tasks.size(); ++index) {
             auto& created = progress.tasks[index];
             created.owner = &target;
+            created.siblings = &progress;
             created.occurrence = occurrence.number;
             created.step = static_cast<int>(step);
             created.index = static_cast<int>(index);
         }
     }
-    target.occurrences.push_back(std::move(occurrence));
-    return target.occurrences.back();
+    return occurrence;
 }
 
 milliseconds due_time(const job_spec& spec, int occurrence)
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -26,10 +26,12 @@
 };
 
 struct job;
+struct step_progress;
 
 // One task of one occurrence of a job, as the leader knows it.
 struct task {
     job* owner = nullptr;
+    step_progress* siblings = nullptr; // the step's tasks, this one among them
     int occurrence = 0;
     int step = 0;
     int index = 0;
--- a/src/jobs/model.cpp
+++ b/src/jobs/model.cpp
@@ -75,6 +75,12 @@
     return longest;
 }
 
+milliseconds objective_of(const queue_config& queue, const job_spec& spec)
+{
+    return queue.latency_objective +
+           std::chrono::duration_cast<milliseconds>(longest_chain(spec) * queue.stretch);
+}
+
 std::string task_name::to_string() const
 {
     return job + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.' +
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -112,6 +112,8 @@
 // Length of the longest chain of estimated steps from `step` on, itself included.
 milliseconds chain_from(const job_spec& spec, std::size_t step);
 milliseconds longest_chain(const job_spec& spec);
+// Time from its submission in which a job of the queue earns full credit.
+milliseconds objective_of(const queue_config& queue, const job_spec& spec);
 
 // Name of a task on a worker, unique in the fleet.
 struct task_name {
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -68,7 +68,6 @@
         return;
     }
     progress.request = wave;
-    progress.deadline = timers_.now() + wave.duration;
     for (const auto& vm : wave.vms) {
         progress.vms[vm];
     }
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -50,7 +50,6 @@
     };
     struct wave_progress {
         wave_request request;
-        net::boot_time deadline{};
         std::map<std::string, wave_vm> vms;
         bool completed = false;
         bool status_written = false; // the present state is known to operators
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -243,6 +243,21 @@
     listener_.on_lost(*this, reason);
 }
 
+// Takes what an answer tells about the worker before it is passed on.
+std::function<void(const order_result&)>
+worker_session::noting(std::function<void(const order_result&)> done)
+{
+    return [this, alive = alive_, done = std::move(done)](const order_result& result) {
+        if (!*alive) {
+            return;
+        }
+        note_result(result);
+        if (*alive) {
+            done(result);
+        }
+    };
+}
+
 void worker_session::start(start_order order, milliseconds timeout,
                            std::function<void(const order_result&)> done)
 {
@@ -259,16 +274,7 @@
     }
     order.lease_until = *until;
     order.fencing_token = token_;
-    port_->start(order, timeout,
-                 [this, alive = alive_, done = std::move(done)](const order_result& result) {
-                     if (!*alive) {
-                         return;
-                     }
-                     note_result(result);
-                     if (*alive) {
-                         done(result);
-                     }
-                 });
+    port_->start(order, timeout, noting(std::move(done)));
     if (!holding_ && hold_timer_ == 0) {
         schedule_hold(hold_interval);
     }
@@ -278,16 +284,7 @@
                           std::function<void(const order_result&)> done)
 {
     order.fencing_token = token_;
-    port_->stop(order, timeout,
-                [this, alive = alive_, done = std::move(done)](const order_result& result) {
-                    if (!*alive) {
-                        return;
-                    }
-                    note_result(result);
-                    if (*alive) {
-                        done(result);
-                    }
-                });
+    port_->stop(order, timeout, noting(std::move(done)));
 }
 
 void worker_session::pace(pace_order order, milliseconds timeout,
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -87,6 +87,7 @@
     void on_hold(const hold_report& report, net::boot_time asked);
     void schedule_hold(std::chrono::nanoseconds delay);
     void note_result(const order_result& result);
+    std::function<void(const order_result&)> noting(std::function<void(const order_result&)> done);
     void note_failure(const char* reason);
     void check_lapse();
     std::optional<milliseconds> next_lease();
--- a/src/net/async_client.cpp
+++ b/src/net/async_client.cpp
@@ -45,6 +45,13 @@
 
 } // namespace
 
+async_client_limits limit_connections(std::size_t max_connections)
+{
+    async_client_limits limits;
+    limits.max_connections = max_connections;
+    return limits;
+}
+
 class async_client::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(event_loop& loop, endpoint server, async_client_limits limits)
--- a/src/net/async_client.h
+++ b/src/net/async_client.h
@@ -19,6 +19,9 @@
     std::chrono::milliseconds connect_timeout{1000};
 };
 
+// The default limits with another number of connections.
+async_client_limits limit_connections(std::size_t max_connections);
+
 struct exchange_result {
     std::optional<http::response> answer;
     http::client_error error; // meaningful without an answer
