Let the leader's work follow what changed, not the size of the fleet

Each registration of a worker (one in 1.5 s from each) compared the list of workers in the store with all sessions; each report of a worker went through the ends of all workers; each tick of 8 ms after a change of leaders asked all workers for each job whether a service is resolved; and each arrival rewrote one record that named all workers.

- A registration that tells nothing new does nothing.
Ends are acknowledged by worker.
Unresolved services are found once a tick.
- A pass looks at each worker once, copies no strings, and does not try tasks that ask for as much as one that had no room (exhausted_room).
A tick takes at most a quarter of the processor.
- watched_prefix collects the events of 60 ms in one call and reads long prefixes in full less often; a watch that fails leads to a read at once.

Three faults found while reading: - A read of the store that began before a worker's removal, and arrived after the event, brought the worker back. - A listing of several pages carried the revision of its last page: changes to the first pages meanwhile were missed until the next full read. - A worker that came back under its id at another address got no task until another worker joined or left.

--- a/src/decisions/job_decisions_test.cpp
+++ b/src/decisions/job_decisions_test.cpp
@@ -54,7 +54,7 @@
               (std::vector<std::size_t>{2, 1, 0}));
 }
 
-worker_room make_room(const std::string& name, std::int64_t free_millicores)
+worker_room make_room(const char* name, std::int64_t free_millicores)
 {
     worker_room room;
     room.worker = name;
@@ -92,7 +92,8 @@
     task.millicores = 1000;
     task.required_label = "fast";
     auto labelled = make_room("a", 64000);
-    labelled.labels = {"fast"};
+    const std::vector<std::string> labels = {"fast"};
+    labelled.labels = &labels;
     EXPECT_EQ(choose_worker(task, {make_room("b", 2000), labelled}), 1U);
     task.required_label.clear();
     task.max_per_worker = 1;
@@ -105,6 +106,45 @@
     EXPECT_EQ(choose_worker(task, {make_room("e", 2000), near}), 1U);
 }
 
+// Hundreds of waiting jobs were tried on each worker at each pass. A demand is ruled out only by
+// one that asks for no more of anything.
+TEST(task_placement, rules_out_tasks_that_ask_for_as_much_as_one_refused)
+{
+    exhausted_room exhausted;
+    task_demand refused;
+    refused.millicores = 4000;
+    refused.memory_mb = 1000;
+    EXPECT_FALSE(exhausted.rules_out(refused));
+    exhausted.note_no_room(refused);
+    EXPECT_TRUE(exhausted.rules_out(refused));
+    auto smaller = refused;
+    smaller.millicores = 3999;
+    EXPECT_FALSE(exhausted.rules_out(smaller));
+    auto leaner = refused;
+    leaner.memory_mb = 999;
+    EXPECT_FALSE(exhausted.rules_out(leaner));
+    auto filler = refused;
+    filler.filler = true;
+    EXPECT_FALSE(exhausted.rules_out(filler));
+}
+
+// A task that only some workers may run tells nothing about the room of the others.
+TEST(task_placement, rules_out_nothing_by_a_refusal_for_a_label_or_the_spread)
+{
+    exhausted_room exhausted;
+    task_demand labelled;
+    labelled.millicores = 1000;
+    labelled.required_label = "fast";
+    exhausted.note_no_room(labelled);
+    task_demand spread;
+    spread.millicores = 1000;
+    spread.max_per_worker = 1;
+    exhausted.note_no_room(spread);
+    task_demand plain;
+    plain.millicores = 1000;
+    EXPECT_FALSE(exhausted.rules_out(plain));
+}
+
 TEST(task_placement, keeps_filling_tasks_away_from_serving_ones)
 {
     task_demand filler;
--- a/src/decisions/task_placement.cpp
+++ b/src/decisions/task_placement.cpp
@@ -15,8 +15,9 @@
 bool allowed(const task_demand& task, const worker_room& worker)
 {
     return (task.max_per_worker == 0 || worker.tasks_of_step < task.max_per_worker) &&
-           (task.required_label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
-                                                     task.required_label) != worker.labels.end());
+           (task.required_label.empty() ||
+            (worker.labels != nullptr && std::find(worker.labels->begin(), worker.labels->end(),
+                                                   task.required_label) != worker.labels->end()));
 }
 
 std::int64_t needed_millicores(const task_demand& task)
@@ -63,17 +64,36 @@
         return std::make_tuple(failing, remote, disturbance, crowding, worker.free_millicores);
     };
     std::optional<std::size_t> best;
+    decltype(rank(worker_room{})) best_rank;
     for (std::size_t index = 0; index < workers.size(); ++index) {
         if (!fits(task, workers[index])) {
             continue;
         }
-        if (!best || rank(workers[index]) < rank(workers[*best])) {
+        const auto present = rank(workers[index]);
+        if (!best || present < best_rank) {
             best = index;
+            best_rank = present;
         }
     }
     return best;
 }
 
+void exhausted_room::note_no_room(const task_demand& task)
+{
+    // Labels and spread rule out workers that have room for others.
+    if (task.required_label.empty() && task.max_per_worker == 0) {
+        refused_.push_back(task);
+    }
+}
+
+bool exhausted_room::rules_out(const task_demand& task) const
+{
+    return std::any_of(refused_.begin(), refused_.end(), [&](const task_demand& refused) {
+        return needed_millicores(task) >= needed_millicores(refused) &&
+               task.memory_mb >= refused.memory_mb && task.accelerators >= refused.accelerators;
+    });
+}
+
 std::optional<std::size_t> choose_reservation(const task_demand& task,
                                               const std::vector<worker_room>& workers)
 {
--- a/src/decisions/task_placement.h
+++ b/src/decisions/task_placement.h
@@ -4,15 +4,17 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jl::decisions {
 
-// A worker as the placement of one task sees it.
+// A worker as the placement of one task sees it. Refers to strings of the caller, since rooms are
+// made anew for thousands of workers at each pass.
 struct worker_room {
-    std::string worker;
-    std::string rack;
-    std::vector<std::string> labels;
+    std::string_view worker;
+    std::string_view rack;
+    const std::vector<std::string>* labels = nullptr; // null: none
     std::int64_t free_millicores = 0;
     std::int64_t free_memory_mb = 0;
     std::int64_t free_accelerators = 0;
@@ -46,6 +48,19 @@
 std::optional<std::size_t> choose_worker(const task_demand& task,
                                          const std::vector<worker_room>& workers);
 
+// Demands that no worker had room for, while room only shrinks: another task that asks for as much
+// has no room either, so it need not be tried. Load pattern: hundreds of jobs wait while a queue
+// asks for several times what its pool holds, and each pass tries them all.
+class exhausted_room {
+public:
+    void note_no_room(const task_demand& task);
+    // True if the task certainly fits nowhere.
+    bool rules_out(const task_demand& task) const;
+
+private:
+    std::vector<task_demand> refused_;
+};
+
 // Chooses the worker that is to be kept free for a task that none has room for; nothing if no
 // worker could ever run it. Returns an index into `workers`.
 //
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -41,7 +41,8 @@
       settings_(settings),
       leader_(leader),
       may_act_(std::move(may_act)),
-      fenced_(std::move(fenced))
+      fenced_(std::move(fenced)),
+      roster_([this](const std::string& key) { writer_->mark(key); })
 {
     record_writer::callbacks callbacks;
     callbacks.encode = [this](const std::string& key) { return encode_record(key); };
@@ -197,10 +198,9 @@
 std::size_t engine::waiting(const std::string& queue) const
 {
     return static_cast<std::size_t>(
-        std::count_if(jobs_.all().begin(), jobs_.all().end(), [&](const auto& entry) {
-            const auto& target = *entry.second;
-            return target.spec.queue == queue && target.active() && target.durable() &&
-                   !target.spec.timed() && !target.any_started;
+        std::count_if(jobs_.active().begin(), jobs_.active().end(), [&](const job* target) {
+            return target->spec.queue == queue && target->active() && target->durable() &&
+                   !target->spec.timed() && !target->any_started;
         }));
 }
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -20,6 +20,7 @@
 #include "jobs/task_runner.h"
 #include "jobs/vm_reservations.h"
 #include "jobs/watched_prefix.h"
+#include "jobs/worker_roster.h"
 
 namespace jl::jobs {
 
@@ -94,7 +95,7 @@
     std::optional<record_writer::record> encode_record(const std::string& key);
     void on_durable(const std::string& key, std::int64_t version);
     void on_job_durable(job& target, std::int64_t version);
-    void on_roster_durable(std::int64_t version);
+    void on_roster_durable(const std::string& key, std::int64_t version);
 
     std::int64_t record_change(job& target);
     void settle_occurrence(job& target);
@@ -103,7 +104,6 @@
     void stop_tasks(job& target, const char* reason);
     void release_gang(task& member);
     void extend_services(job& target, const std::string& service);
-    bool services_resolved(const job& target) const;
 
     void tick_soon();
     void tick();
@@ -115,7 +115,6 @@
     void control_pace(worker_slot& slot);
     void make_vm_managers();
     void manage_vms();
-    void update_roster();
     void housekeeping();
 
     net::timer_service& timers_;
@@ -129,6 +128,7 @@
     job_table jobs_;
     std::optional<fleet_config> config_;
     std::unique_ptr<record_writer> writer_;
+    worker_roster roster_;
     std::unique_ptr<task_runner> runner_;
     std::unique_ptr<advice_book> advice_;
     vm_reservations reservations_;
@@ -143,11 +143,8 @@
     bool unresolved_ = false; // some task of a former leader may run unknown to us
     bool ended_ = false;      // a newer leader was seen
 
-    std::map<std::string, roster_entry> roster_;
-    std::int64_t roster_version_ = 0;
-    std::map<std::int64_t, std::vector<std::string>> roster_members_; // by version not yet durable
-
     net::boot_time last_tick_{};
+    net::boot_clock::duration last_tick_took_{};
     net::timer_service::timer_id tick_timer_ = 0;
     net::timer_service::timer_id housekeeping_timer_ = 0;
 };
--- a/src/jobs/engine_periodic.cpp
+++ b/src/jobs/engine_periodic.cpp
@@ -17,6 +17,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_interval = 8ms;
+// Time between the beginnings of two ticks, in multiples of what the last one took: the ticks leave
+// most of the processor to what arrives from workers and callers, however large the fleet.
+constexpr int rest = 4;
 constexpr auto housekeeping_interval = 100ms;
 // Records of finished jobs are removed this long after the time that their state must be known.
 constexpr auto retention_slack = 20s;
@@ -28,7 +31,8 @@
     if (tick_timer_ != 0 || ended_) {
         return;
     }
-    const auto earliest = last_tick_ + tick_interval;
+    const auto earliest =
+        last_tick_ + std::max<net::boot_clock::duration>(tick_interval, last_tick_took_ * rest);
     const auto now = timers_.now();
     tick_timer_ = timers_.call_after(earliest > now ? earliest - now : 0ns, [this] {
         tick_timer_ = 0;
@@ -45,6 +49,7 @@
     begin_due_occurrences();
     resolve_tasks();
     scheduler_->pass(*config_);
+    last_tick_took_ = timers_.now() - last_tick_;
 }
 
 void engine::begin_due_occurrences()
@@ -62,12 +67,6 @@
     }
 }
 
-bool engine::services_resolved(const job& target) const
-{
-    return std::all_of(target.services.begin(), target.services.end(),
-                       [&](const auto& service) { return runner_->service_resolved(service); });
-}
-
 // Tasks of a former leader that no worker told of run nowhere, once all workers that might have run
 // them have answered or their leases have lapsed.
 void engine::resolve_tasks()
@@ -76,8 +75,11 @@
         return;
     }
     unresolved_ = false;
+    const auto unresolved_services = runner_->unresolved_services();
     for (auto* const target : jobs_.active()) {
-        const bool resolved = services_resolved(*target);
+        const bool resolved = std::none_of(
+            target->services.begin(), target->services.end(),
+            [&](const auto& service) { return unresolved_services.count(service) != 0; });
         for (auto& occurrence : target->occurrences) {
             for (auto& step : occurrence.steps) {
                 for (auto& task : step.tasks) {
@@ -108,8 +110,8 @@
         relocate_from_draining();
         manage_vms();
     }
-    if (runner_->forget_unlisted()) {
-        update_roster();
+    for (const auto& worker : runner_->forget_unlisted()) {
+        roster_.erase(worker);
     }
     tick();
 }
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -55,7 +55,7 @@
         if (begins_with(item.key, job_prefix)) {
             load_job(item);
         }
-        else if (item.key == roster_key) {
+        else if (worker_roster::owns(item.key)) {
             load_roster(item);
         }
         else if (vm_orders_ && item.key == vm_order_log::key) {
@@ -108,13 +108,7 @@
 void engine::load_roster(const store_item& item)
 {
     writer_->set_revision(item.key, item.revision);
-    const auto entries = decode_roster(item.value);
-    if (!entries) {
-        log_event(log_level::error, "roster.record_unreadable", {{"key", item.key}});
-        return;
-    }
-    for (const auto& entry : *entries) {
-        roster_[entry.worker] = entry;
+    for (const auto& entry : roster_.load(item)) {
         listed_worker info;
         info.id = entry.worker;
         info.service = entry.service;
@@ -153,6 +147,7 @@
                {"queues", std::to_string(config.queues.size())}});
     const bool first = !config_;
     config_ = std::move(config);
+    config_->index_queues();
     if (vms_) {
         vms_->config_changed(*config_);
     }
@@ -190,53 +185,18 @@
         runner_->worker_unlisted(item.key.substr(prefix));
         return;
     }
-    runner_->worker_listed(*info, false);
-    update_roster();
+    if (runner_->worker_listed(*info, false)) {
+        roster_.set({info->id, info->service, info->address, info->vm, info->born});
+    }
 }
 
 // --- Records -----------------------------------------------------------------------------------
 
-// Brings the durable list of workers in line with the sessions. A worker must be named there before
-// the first task is started on it.
-void engine::update_roster()
-{
-    bool changed = false;
-    for (const auto& [worker, slot] : runner_->slots()) {
-        if (roster_.count(worker) == 0) {
-            const auto& info = slot.info();
-            roster_[worker] = {worker, info.service, info.address, info.vm, info.born};
-            changed = true;
-        }
-    }
-    for (auto next = roster_.begin(); next != roster_.end();) {
-        if (runner_->find_slot(next->first) == nullptr) {
-            next = roster_.erase(next);
-            changed = true;
-        }
-        else {
-            ++next;
-        }
-    }
-    if (changed) {
-        ++roster_version_;
-        writer_->mark(roster_key);
-    }
-}
-
 std::optional<record_writer::record> engine::encode_record(const std::string& key)
 {
     record_writer::record record;
-    if (key == roster_key) {
-        std::vector<roster_entry> entries;
-        auto& members = roster_members_[roster_version_];
-        members.clear();
-        for (const auto& [worker, entry] : roster_) {
-            entries.push_back(entry);
-            members.push_back(worker);
-        }
-        record.value = encode_roster(entries);
-        record.version = roster_version_;
-        return record;
+    if (worker_roster::owns(key)) {
+        return roster_.encode(key);
     }
     if (key == vm_order_log::key) {
         record.value = vm_orders_->encode();
@@ -255,8 +215,8 @@
 
 void engine::on_durable(const std::string& key, std::int64_t version)
 {
-    if (key == roster_key) {
-        on_roster_durable(version);
+    if (worker_roster::owns(key)) {
+        on_roster_durable(key, version);
         return;
     }
     if (key == vm_order_log::key) {
@@ -268,18 +228,13 @@
     }
 }
 
-void engine::on_roster_durable(std::int64_t version)
+void engine::on_roster_durable(const std::string& key, std::int64_t version)
 {
-    const auto found = roster_members_.find(version);
-    if (found == roster_members_.end()) {
-        return;
-    }
-    for (const auto& worker : found->second) {
+    for (const auto& worker : roster_.on_durable(key, version)) {
         if (auto* const slot = runner_->find_slot(worker)) {
             slot->rostered = true;
         }
     }
-    roster_members_.erase(roster_members_.begin(), std::next(found));
     tick_soon();
 }
 
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -440,5 +440,24 @@
     expect_no_violation(fleet);
 }
 
+// A worker that came back under its id at another address got no task until some other worker
+// joined or left: the list in the store named it already, so nothing was written that allowed it.
+TEST(engine, uses_a_worker_that_comes_back_at_another_address)
+{
+    test_fleet fleet(1);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(1s);
+    fleet.workers.restart("w0");
+    auto info = fleet.documents.workers.at("w0");
+    ++info.born;
+    info.address.port = 2;
+    fleet.list_worker(info);
+    fleet.timers.run_for(1s);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 5s));
+    expect_no_violation(fleet);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -23,11 +23,16 @@
     endpoint address;
     std::string vm;        // empty: not told
     std::int64_t born = 0; // 0: not told
+
+    bool operator==(const roster_entry& other) const
+    {
+        return worker == other.worker && service == other.service && address == other.address &&
+               vm == other.vm && born == other.born;
+    }
 };
 std::string encode_roster(const std::vector<roster_entry>& roster);
 std::optional<std::vector<roster_entry>> decode_roster(const std::string& value);
 
 constexpr const char* job_prefix = "jl/job/";
-constexpr const char* roster_key = "jl/roster";
 
 } // namespace jl::jobs
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "base/log.h"
@@ -48,7 +50,7 @@
     decisions::worker_room room;
     room.worker = info.id;
     room.rack = info.rack;
-    room.labels = info.labels;
+    room.labels = &info.labels;
     room.free_millicores = info.capacity.millicores;
     room.free_memory_mb = info.capacity.memory_mb;
     room.free_accelerators = info.capacity.accelerators;
@@ -130,23 +132,40 @@
 // The state of one pool during a pass.
 struct job_scheduler::pool_pass {
     std::vector<decisions::worker_room> rooms;
-    std::vector<worker_slot*> slots; // of the rooms, in the same order
-    std::vector<std::string> workers;
+    std::vector<worker_slot*> slots;                            // of the rooms, in the same order
+    std::unordered_map<std::string_view, std::size_t> position; // in `rooms`, by worker
+    decisions::exhausted_room exhausted;
     net::boot_time now;
 
+    void add(worker_slot& slot)
+    {
+        position[slot.info().id] = rooms.size();
+        rooms.push_back(room_of(slot, now));
+        slots.push_back(&slot);
+    }
+
     // Counts the tasks of the step on each worker for the placement.
     void count_step(const step_progress& step)
     {
-        std::map<std::string, int> counts;
+        for (auto& room : rooms) {
+            room.tasks_of_step = 0;
+        }
         for (const auto& task : step.tasks) {
-            if (task.on_worker()) {
-                ++counts[task.worker];
+            const auto found = task.on_worker() ? position.find(task.worker) : position.end();
+            if (found != position.end()) {
+                ++rooms[found->second].tasks_of_step;
             }
         }
-        for (auto& room : rooms) {
-            const auto found = counts.find(room.worker);
-            room.tasks_of_step = found == counts.end() ? 0 : found->second;
+    }
+
+    std::vector<std::string> workers() const
+    {
+        std::vector<std::string> names;
+        names.reserve(rooms.size());
+        for (const auto& room : rooms) {
+            names.emplace_back(room.worker);
         }
+        return names;
     }
 };
 
@@ -169,24 +188,29 @@
             by_service[queue->service].push_back(target);
         }
     }
+    if (by_service.empty()) {
+        return;
+    }
+    std::map<std::string, pool_pass> pools;
     for (const auto& [service, jobs] : by_service) {
-        pass_pool(config, service, jobs);
+        pools[service].now = now;
+    }
+    look_at_pools(pools);
+    for (const auto& [service, jobs] : by_service) {
+        pass_pool(config, jobs, pools[service]);
     }
 }
 
-job_scheduler::pool_pass job_scheduler::look_at_pool(const std::string& service) const
+// Fills in the workers of all given pools.
+void job_scheduler::look_at_pools(std::map<std::string, pool_pass>& pools) const
 {
-    pool_pass pool;
-    pool.now = timers_.now();
     for (auto& [worker, slot] : runner_.slots()) {
-        if (slot.info().service == service && usable(slot, pool.now) &&
+        const auto pool = pools.find(slot.info().service);
+        if (pool != pools.end() && usable(slot, pool->second.now) &&
             !reservations_.blocks(slot.info().vm, worker)) {
-            pool.rooms.push_back(room_of(slot, pool.now));
-            pool.slots.push_back(&slot);
-            pool.workers.push_back(worker);
+            pool->second.add(slot);
         }
     }
-    return pool;
 }
 
 bool job_scheduler::fits_elsewhere(const task& target, const fleet_config& config) const
@@ -195,7 +219,10 @@
     if (queue == nullptr) {
         return false;
     }
-    auto pool = look_at_pool(queue->service);
+    std::map<std::string, pool_pass> pools;
+    auto& pool = pools[queue->service];
+    pool.now = timers_.now();
+    look_at_pools(pools);
     pool.count_step(*target.siblings);
     for (auto& room : pool.rooms) {
         if (room.worker == target.worker) {
@@ -205,10 +232,9 @@
     return decisions::choose_worker(demand_of(target), pool.rooms).has_value();
 }
 
-void job_scheduler::pass_pool(const fleet_config& config, const std::string& service,
-                              const std::vector<job*>& jobs)
+void job_scheduler::pass_pool(const fleet_config& config, const std::vector<job*>& jobs,
+                              pool_pass& pool)
 {
-    auto pool = look_at_pool(service);
     if (pool.rooms.empty()) {
         return;
     }
@@ -262,10 +288,16 @@
         return;
     }
     if (queue.needs_advice && advice_ != nullptr) {
-        advice_->want(step_name(*waiting.front()), pool.workers, queue.ticket_validity);
+        advice_->want(step_name(*waiting.front()), pool.workers(), queue.ticket_validity);
+    }
+    const auto& spec = target.spec.steps[step];
+    if (pool.exhausted.rules_out(demand_of(*waiting.front())) && !spec.long_running) {
+        return;
+    }
+    if (spec.max_per_worker > 0 || spec.long_running) {
+        pool.count_step(progress);
     }
-    pool.count_step(progress);
-    if (target.spec.steps[step].gang) {
+    if (spec.gang) {
         if (waiting.size() == progress.tasks.size()) {
             start_gang(waiting, progress, pool);
         }
@@ -320,6 +352,7 @@
     if (!queue.needs_advice || advice_ == nullptr) {
         const auto worker = decisions::choose_worker(demand, pool.rooms);
         if (!worker) {
+            pool.exhausted.note_no_room(demand);
             if (demand.long_running) {
                 reserve(demand, pool);
             }
@@ -332,7 +365,7 @@
     std::vector<std::size_t> indexes;
     const auto step = step_name(target);
     for (std::size_t index = 0; index < pool.rooms.size(); ++index) {
-        if (advice_->ticket(step, pool.rooms[index].worker)) {
+        if (advice_->ticket(step, pool.slots[index]->info().id)) {
             allowed.push_back(pool.rooms[index]);
             indexes.push_back(index);
         }
@@ -341,7 +374,8 @@
     if (!worker) {
         return false;
     }
-    launch(target, indexes[*worker], *advice_->ticket(step, allowed[*worker].worker), pool);
+    const auto chosen = indexes[*worker];
+    launch(target, chosen, *advice_->ticket(step, pool.slots[chosen]->info().id), pool);
     return true;
 }
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,9 +28,8 @@
 
 private:
     struct pool_pass;
-    pool_pass look_at_pool(const std::string& service) const;
-    void pass_pool(const fleet_config& config, const std::string& service,
-                   const std::vector<job*>& jobs);
+    void look_at_pools(std::map<std::string, pool_pass>& pools) const;
+    void pass_pool(const fleet_config& config, const std::vector<job*>& jobs, pool_pass& pool);
     void start_job(job& target, const queue_config& queue, pool_pass& pool);
     void start_step(job& target, occurrence_progress& occurrence, std::size_t step,
                     const queue_config& queue, pool_pass& pool);
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -120,6 +120,7 @@
     const std::unordered_map<std::string, std::unique_ptr<job>>& all() const { return jobs_; }
     // Jobs whose tasks may still need work.
     std::set<job*>& active() { return active_; }
+    const std::set<job*>& active() const { return active_; }
 
 private:
     std::unordered_map<std::string, std::unique_ptr<job>> jobs_;
--- a/src/jobs/model.cpp
+++ b/src/jobs/model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 
 namespace jl::jobs {
 
@@ -27,6 +28,16 @@
 
 } // namespace
 
+bool listed_worker::operator==(const listed_worker& other) const
+{
+    const auto members = [](const listed_worker& worker) {
+        return std::tie(worker.id, worker.service, worker.data_centre, worker.vm, worker.labels,
+                        worker.rack, worker.draining, worker.born);
+    };
+    return members(*this) == members(other) && address == other.address &&
+           capacity == other.capacity;
+}
+
 const queue_config* fleet_config::find_queue(const std::string& host, const std::string& path) const
 {
     const queue_config* best = nullptr;
@@ -43,9 +54,16 @@
 
 const queue_config* fleet_config::find_queue(const std::string& name) const
 {
-    const auto found = std::find_if(queues.begin(), queues.end(),
-                                    [&](const auto& queue) { return queue.name == name; });
-    return found == queues.end() ? nullptr : &*found;
+    const auto found = queue_position_.find(name);
+    return found == queue_position_.end() ? nullptr : &queues[found->second];
+}
+
+void fleet_config::index_queues()
+{
+    queue_position_.clear();
+    for (std::size_t index = 0; index < queues.size(); ++index) {
+        queue_position_.emplace(queues[index].name, index);
+    }
 }
 
 const service_config* fleet_config::find_service(const std::string& name) const
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/settings.h"
@@ -17,6 +18,12 @@
     std::int64_t millicores = 0;
     std::int64_t memory_mb = 0;
     std::int64_t accelerators = 0;
+
+    bool operator==(const task_resources& other) const
+    {
+        return millicores == other.millicores && memory_mb == other.memory_mb &&
+               accelerators == other.accelerators;
+    }
 };
 
 // One step of a job: `count` equal tasks.
@@ -85,6 +92,11 @@
     const queue_config* find_queue(const std::string& host, const std::string& path) const;
     const queue_config* find_queue(const std::string& name) const;
     const service_config* find_service(const std::string& name) const;
+    // Must be called once `queues` is complete, before a queue is looked up by its name.
+    void index_queues();
+
+private:
+    std::unordered_map<std::string, std::size_t> queue_position_; // by name
 };
 
 // A worker as it registers itself. One life of the process on a VM.
@@ -99,6 +111,8 @@
     task_resources capacity;
     bool draining = false;
     std::int64_t born = 0; // Unix ms of its start; changes when it restarts under the same id
+
+    bool operator==(const listed_worker& other) const;
 };
 
 // A maintenance wave that operators ask for.
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -67,7 +67,7 @@
     return found;
 }
 
-void task_runner::worker_listed(const listed_worker& info, bool from_roster)
+bool task_runner::worker_listed(const listed_worker& info, bool from_roster)
 {
     const auto found = slots_.find(info.id);
     const bool later_life = found != slots_.end() && info.born > found->second.session->born();
@@ -77,18 +77,29 @@
         erase_slot(found);
     }
     else if (found != slots_.end()) {
-        found->second.listed = true;
-        if (found->second.info().vm != info.vm) {
-            forget_vm_of(found->second.info());
-            workers_on_[info.vm].push_back(info.id);
-        }
-        found->second.session->update(info);
-        events_.workers_changed();
-        return;
+        return update_slot(found->second, info);
     }
     add_slot(info, from_roster);
     end_earlier_lives(info);
     events_.workers_changed();
+    return true;
+}
+
+// Each worker registers itself anew every second or two, mostly without news.
+bool task_runner::update_slot(worker_slot& slot, const listed_worker& info)
+{
+    const bool news = !slot.listed || !(slot.info() == info);
+    slot.listed = true;
+    if (!news) {
+        return false;
+    }
+    if (slot.info().vm != info.vm) {
+        forget_vm_of(slot.info());
+        workers_on_[info.vm].push_back(info.id);
+    }
+    slot.session->update(info);
+    events_.workers_changed();
+    return true;
 }
 
 void task_runner::add_slot(const listed_worker& info, bool from_roster)
@@ -156,30 +167,33 @@
     }
 }
 
-bool task_runner::forget_unlisted()
+std::vector<std::string> task_runner::forget_unlisted()
 {
-    bool any = false;
+    std::vector<std::string> forgotten;
     const auto now = timers_.now();
     for (auto next = slots_.begin(); next != slots_.end();) {
         const auto& slot = next->second;
         const bool settled = slot.session->dead() || now >= slot.unlisted_at + unlisted_retention;
         if (!slot.listed && slot.assigned.empty() && settled && slot.session->resolved()) {
+            forgotten.push_back(next->first);
             next = erase_slot(next);
-            any = true;
         }
         else {
             ++next;
         }
     }
-    return any;
+    return forgotten;
 }
 
-bool task_runner::service_resolved(const std::string& service) const
+std::set<std::string> task_runner::unresolved_services() const
 {
-    return std::all_of(slots_.begin(), slots_.end(), [&](const auto& entry) {
-        const auto& slot = entry.second;
-        return !slot.from_roster || slot.info().service != service || slot.session->resolved();
-    });
+    std::set<std::string> services;
+    for (const auto& [worker, slot] : slots_) {
+        if (slot.from_roster && !slot.session->resolved()) {
+            services.insert(slot.info().service);
+        }
+    }
+    return services;
 }
 
 // --- Orders ------------------------------------------------------------------------------------
@@ -516,7 +530,7 @@
         slot.pending_ends.push_back({end.number, name ? name->job : "", version});
     }
     slot.session->set_last_reported_end(last);
-    acknowledge_durable();
+    acknowledge_durable(slot);
 }
 
 std::int64_t task_runner::apply_end(worker_slot& slot, const ended_task& end)
@@ -678,21 +692,38 @@
 
 void task_runner::acknowledge_durable()
 {
-    for (auto& [worker, slot] : slots_) {
-        std::int64_t number = 0;
-        while (!slot.pending_ends.empty()) {
-            const auto& end = slot.pending_ends.front();
-            const job* const owner = end.version == 0 ? nullptr : jobs_.find(end.job);
-            if (owner != nullptr && owner->durable_version < end.version) {
-                break;
-            }
-            number = end.number;
-            slot.pending_ends.pop_front();
+    const auto workers = workers_with_pending_ends_;
+    for (const auto& worker : workers) {
+        if (auto* const slot = find_slot(worker)) {
+            acknowledge_durable(*slot);
         }
-        if (number != 0) {
-            slot.session->acknowledge(number);
+        else {
+            workers_with_pending_ends_.erase(worker);
         }
     }
 }
 
+void task_runner::acknowledge_durable(worker_slot& slot)
+{
+    std::int64_t number = 0;
+    while (!slot.pending_ends.empty()) {
+        const auto& end = slot.pending_ends.front();
+        const job* const owner = end.version == 0 ? nullptr : jobs_.find(end.job);
+        if (owner != nullptr && owner->durable_version < end.version) {
+            break;
+        }
+        number = end.number;
+        slot.pending_ends.pop_front();
+    }
+    if (slot.pending_ends.empty()) {
+        workers_with_pending_ends_.erase(slot.info().id);
+    }
+    else {
+        workers_with_pending_ends_.insert(slot.info().id);
+    }
+    if (number != 0) {
+        slot.session->acknowledge(number);
+    }
+}
+
 } // namespace jl::jobs
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -79,13 +79,13 @@
     task_runner(const task_runner&) = delete;
     task_runner& operator=(const task_runner&) = delete;
 
-    // Adds the worker or takes over its new registration.
-    void worker_listed(const listed_worker& info, bool from_roster);
+    // Adds the worker or takes over its new registration. Returns true if that tells anything new.
+    bool worker_listed(const listed_worker& info, bool from_roster);
     void worker_unlisted(const std::string& worker);
     // The worker's VM was powered off: this life of it has ended.
     void worker_ended(const worker_life& life);
-    // Forgets workers that are not registered and run nothing. Returns true if any was.
-    bool forget_unlisted();
+    // Forgets workers that are not registered and run nothing, and returns them.
+    std::vector<std::string> forget_unlisted();
 
     void start(task& target, worker_slot& slot, const std::string& ticket);
     void stop(task& target, const char* reason);
@@ -100,8 +100,8 @@
     worker_slot* find_slot(const std::string& worker);
     // The workers known on a VM, of which one is alive at most.
     std::vector<worker_slot*> slots_on(const std::string& vm);
-    // True if no worker of the service may run something of a former leader that is not known.
-    bool service_resolved(const std::string& service) const;
+    // Services with workers that may run something of a former leader that is not known.
+    std::set<std::string> unresolved_services() const;
 
 private:
     void on_report(worker_session& session, const hold_report& report,
@@ -112,6 +112,7 @@
     bool in_use(const worker_session& session) const override;
 
     void add_slot(const listed_worker& info, bool from_roster);
+    bool update_slot(worker_slot& slot, const listed_worker& info);
     std::map<std::string, worker_slot>::iterator
     erase_slot(std::map<std::string, worker_slot>::iterator slot);
     // Takes the worker out of the index by VM.
@@ -127,6 +128,7 @@
     void release(task& target);
     void lose_tasks(worker_slot& slot, const std::set<task*>& lost, const char* reason);
     void apply_ends(worker_slot& slot, const hold_report& report);
+    void acknowledge_durable(worker_slot& slot);
     std::int64_t apply_end(worker_slot& slot, const ended_task& end);
     std::int64_t apply_earlier_end(worker_slot& slot, task& target, const ended_task& end);
     void apply_running(worker_slot& slot, const hold_report& report);
@@ -142,6 +144,7 @@
     runner_settings settings_;
     std::map<std::string, worker_slot> slots_;                             // by worker id
     std::unordered_map<std::string, std::vector<std::string>> workers_on_; // by VM
+    std::set<std::string> workers_with_pending_ends_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -10,6 +10,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto read_interval = 400ms;
+// A long list is read less often: at 250 bytes an entry this is 0.5 MB a second.
+constexpr auto read_interval_per_vm = 500us;
 // Longer than the list lags and than a VM takes to come back with another worker.
 constexpr auto settled_after = 3500ms;
 
@@ -32,7 +34,8 @@
         return;
     }
     reading_ = true;
-    next_read_ = now + read_interval;
+    next_read_ = now + std::max<net::boot_clock::duration>(read_interval,
+                                                           read_interval_per_vm * vms_.size());
     port_.list([this, now, alive = alive_](std::optional<std::vector<fleet_vm>> listed) {
         if (!*alive) {
             return;
--- a/src/jobs/watched_prefix.cpp
+++ b/src/jobs/watched_prefix.cpp
@@ -11,8 +11,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto watch_wait = 10000ms;
+// A watch that was cut without a sign is noticed after this time and the slack of its exchange.
+constexpr auto watch_wait = 3000ms;
 constexpr auto retry_delay = 250ms;
+// Events that follow each other within this time are collected by one call.
+constexpr auto watch_interval = 60ms;
+// A long prefix is read in full less often: its watch tells the changes meanwhile.
+constexpr auto resync_period_per_item = 2ms;
 
 } // namespace
 
@@ -31,15 +36,24 @@
 {
     *alive_ = false;
     timers_.cancel(resync_timer_);
+    timers_.cancel(watch_timer_);
+}
+
+void watched_prefix::resync_after(milliseconds delay)
+{
+    timers_.cancel(resync_timer_);
+    resync_timer_ = timers_.call_after(delay, [this] { resync(); });
 }
 
 void watched_prefix::resync()
 {
     const auto sent = timers_.now();
+    resyncing_ = true;
     store_.list(prefix_, [this, sent, alive = alive_](const store_result<store_listing>& result) {
         if (!*alive) {
             return;
         }
+        resyncing_ = false;
         if (result.value) {
             last_sync_ = sent;
             apply_listing(*result.value);
@@ -47,20 +61,26 @@
         if (!*alive) {
             return;
         }
-        resync_timer_ = timers_.call_after(
-            result.value ? resync_period_ : milliseconds(retry_delay), [this] { resync(); });
+        const auto period = std::max<milliseconds>(
+            resync_period_, resync_period_per_item * static_cast<int>(revisions_.size()));
+        resync_after(result.value ? period : milliseconds(retry_delay));
     });
 }
 
 void watched_prefix::apply_listing(const store_listing& listing)
 {
-    // An event newer than this listing may have been applied already; pages are no snapshot, so a
+    // Events newer than this listing may have been applied already; pages are no snapshot, so a
     // key is taken for removed only if nothing newer is known of it.
     const auto alive = alive_;
+    const bool overtaken = listing.at < at_;
     std::set<std::string> present;
     for (const auto& item : listing.items) {
         present.insert(item.key);
-        apply(item);
+        const bool removed_since =
+            overtaken && item.revision <= at_ && revisions_.count(item.key) == 0;
+        if (!removed_since) {
+            apply(item);
+        }
         if (!*alive) {
             return;
         }
@@ -109,6 +129,7 @@
         return;
     }
     watching_ = true;
+    timers_.cancel(watch_timer_);
     store_.watch(prefix_, at_, watch_wait,
                  [this, alive = alive_](const store_result<store_listing>& result) {
                      if (!*alive) {
@@ -116,8 +137,12 @@
                      }
                      watching_ = false;
                      if (!result.value) {
-                         return; // the next read of the prefix starts a new watch
+                         if (!resyncing_) {
+                             resync_after(retry_delay); // which starts a new watch
+                         }
+                         return;
                      }
+                     const bool quiet = result.value->items.empty();
                      if (result.value->at >= at_) {
                          at_ = result.value->at;
                          for (const auto& item : result.value->items) {
@@ -127,7 +152,11 @@
                              }
                          }
                      }
-                     watch();
+                     if (quiet) {
+                         watch();
+                         return;
+                     }
+                     watch_timer_ = timers_.call_after(watch_interval, [this] { watch(); });
                  });
 }
 
--- a/src/jobs/watched_prefix.h
+++ b/src/jobs/watched_prefix.h
@@ -37,6 +37,7 @@
     net::boot_time last_sync() const { return last_sync_; }
 
 private:
+    void resync_after(milliseconds delay);
     void resync();
     void apply_listing(const store_listing& listing);
     void watch();
@@ -51,7 +52,9 @@
     std::int64_t at_ = 0;
     net::boot_time last_sync_{};
     bool watching_ = false;
+    bool resyncing_ = false;
     net::timer_service::timer_id resync_timer_ = 0;
+    net::timer_service::timer_id watch_timer_ = 0; // of the next watch
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/jobs/worker_roster.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jobs/job_record.h"
+#include "jobs/ports.h"
+#include "jobs/record_writer.h"
+
+namespace jl::jobs {
+
+// The durable list of workers that may run something. A worker is named in it before the first task
+// is started there, so a new leader knows whom to ask what runs.
+//
+// The list is spread over several records, so that the arrival of one worker does not rewrite the
+// entries of thousands. Not thread-safe.
+class worker_roster {
+public:
+    static constexpr const char* prefix = "jl/roster/";
+    static bool owns(const std::string& key);
+
+    // `mark` is called with the key of each record that has to be written.
+    explicit worker_roster(std::function<void(const std::string& key)> mark);
+
+    // Takes over a record read from the store and returns its entries.
+    std::vector<roster_entry> load(const store_item& item);
+
+    void set(const roster_entry& entry);
+    void erase(const std::string& worker);
+    std::size_t size() const { return entries_.size(); }
+
+    record_writer::record encode(const std::string& key) const;
+    // Version `version` of a record is in the store. Returns the workers whose present entries are
+    // named there.
+    std::vector<std::string> on_durable(const std::string& key, std::int64_t version) const;
+
+private:
+    static std::string key_of(const std::string& worker);
+    void change(const std::string& key);
+
+    std::function<void(const std::string& key)> mark_;
+    std::map<std::string, roster_entry> entries_; // by worker
+    // The workers of each record, with the version of it that first holds the present entry.
+    std::map<std::string, std::map<std::string, std::int64_t>> members_;
+    std::map<std::string, std::int64_t> versions_; // by key
+};
+
+} // namespace jl::jobs
