Ask right before each order to a worker whether the leadership still holds

A process that was suspended went on where it had stopped. The timers that repeat a start or a stop and those that renew leases run before the one that notices the end of the leadership, and asked nothing: orders of a former leader went out and renewed leases. Workers that the next leader had not spoken to yet would have taken them.

A worker_session now asks before each start, stop, pace and hold. An order that may not be sent is reported as not sent.

Found beside it: an election that is answered after its own lease has ended brought an engine without a leadership, which went on talking to workers.

Tests: worker_session_test (new), engine.an_election_that_outlasts_its_lease.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -20,9 +20,11 @@
 // on a worker that is lost waits for it to lapse, so it is no longer than that.
 constexpr auto longest_lease = 4500ms;
 
-runner_settings make_runner_settings(const engine_settings& settings, const leader_record& leader)
+runner_settings make_runner_settings(const engine_settings& settings, const leader_record& leader,
+                                     std::function<bool()> may_act)
 {
     runner_settings result;
+    result.session.may_act = std::move(may_act);
     result.session.lease = std::min(settings.max_lease, milliseconds(longest_lease));
     result.session.former_lease = result.session.lease + settings.leader_ttl;
     result.stop_time = settings.stop_time;
@@ -59,7 +61,7 @@
                                               std::move(callbacks));
     runner_ = std::make_unique<task_runner>(timers_, *ports_.workers, jobs_,
                                             static_cast<task_events&>(*this), *ports_.metrics,
-                                            make_runner_settings(settings_, leader));
+                                            make_runner_settings(settings_, leader, may_act_));
     if (ports_.advisor != nullptr) {
         advice_ = std::make_unique<advice_book>(timers_, *ports_.advisor, [this] { tick_soon(); });
     }
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -459,5 +459,18 @@
     expect_no_violation(fleet);
 }
 
+// A store so slow that the lease of a new leader has ended before its election is answered: the
+// process kept an engine that went on talking to the workers, though it led no longer.
+TEST(engine, an_election_that_outlasts_its_lease_brings_no_leader)
+{
+    test_fleet fleet;
+    fleet.add_node("a");
+    fleet.nodes.at("a")->store().latency = 1100ms;
+    fleet.nodes.at("a")->store().timeout = 5000ms;
+    fleet.timers.run_for(20s);
+    EXPECT_EQ(fleet.leader(), nullptr);
+    EXPECT_EQ(fleet.workers.holds(), 0U);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -241,6 +241,9 @@
               {{"term", std::to_string(record.term)}, {"token", std::to_string(record.token)}});
     schedule_renewal(lease.ttl / renewals_per_ttl);
     check_expiry();
+    if (!leading_) {
+        return; // the election took longer than the lease lasts
+    }
     callbacks_.leader_changed();
     callbacks_.elected(record);
 }
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -110,6 +110,10 @@
     if (holding_ || dead_) {
         return;
     }
+    if (!settings_.may_act()) {
+        schedule_hold(retry_delay);
+        return;
+    }
     holding_ = true;
     const bool pending_ends = last_reported_end_ > acknowledged_;
     const bool used = listener_.in_use(*this);
@@ -261,18 +265,23 @@
     };
 }
 
+void worker_session::refuse(std::function<void(const order_result&)> done)
+{
+    order_result refused;
+    refused.status = order_status::not_sent;
+    timers_.defer([alive = alive_, refused, done = std::move(done)] {
+        if (*alive) {
+            done(refused);
+        }
+    });
+}
+
 void worker_session::start(start_order order, milliseconds timeout,
                            std::function<void(const order_result&)> done)
 {
-    const auto until = next_lease();
+    const auto until = settings_.may_act() ? next_lease() : std::nullopt;
     if (!until || dead_) {
-        order_result refused;
-        refused.status = order_status::not_sent;
-        timers_.defer([alive = alive_, refused, done = std::move(done)] {
-            if (*alive) {
-                done(refused);
-            }
-        });
+        refuse(std::move(done));
         return;
     }
     order.lease_until = *until;
@@ -286,6 +295,10 @@
 void worker_session::stop(stop_order order, milliseconds timeout,
                           std::function<void(const order_result&)> done)
 {
+    if (!settings_.may_act()) {
+        refuse(std::move(done));
+        return;
+    }
     order.fencing_token = token_;
     port_->stop(order, timeout, noting(std::move(done)));
 }
@@ -293,6 +306,10 @@
 void worker_session::pace(pace_order order, milliseconds timeout,
                           std::function<void(const order_result&)> done)
 {
+    if (!settings_.may_act()) {
+        refuse(std::move(done));
+        return;
+    }
     order.fencing_token = token_;
     port_->pace(order, timeout,
                 [alive = alive_, done = std::move(done)](const order_result& result) {
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -17,6 +17,9 @@
     milliseconds lease{6000}; // asked for with each order; the worker's limit or less
     // Longest time that a former leader may still believe to lead, with its last lease to a worker.
     milliseconds former_lease{0};
+    // Whether the leadership certainly holds. Asked right before each order, since the process may
+    // have been suspended since the order was decided.
+    std::function<bool()> may_act;
 };
 
 class worker_session;
@@ -98,6 +101,8 @@
     void note_failure(const char* reason);
     void check_lapse();
     std::optional<milliseconds> next_lease();
+    // Reports an order that was not sent.
+    void refuse(std::function<void(const order_result&)> done);
 
     net::timer_service& timers_;
     session_listener& listener_;
--- /dev/null
+++ b/src/jobs/worker_session_test.cpp
@@ -0,0 +1,153 @@
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "jobs/testing/virtual_timers.h"
+#include "jobs/worker_session.h"
+
+namespace jl::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::virtual_timers;
+
+constexpr auto answer_delay = 10ms;
+
+// Counts the orders that reach the worker and accepts them.
+struct received_orders {
+    int holds = 0;
+    int starts = 0;
+    int stops = 0;
+    int paces = 0;
+};
+
+class counting_port final : public worker_port {
+public:
+    counting_port(net::timer_service& timers, received_orders& received)
+        : timers_(timers), received_(received)
+    {
+    }
+
+    void start(const start_order&, milliseconds,
+               std::function<void(const order_result&)> done) override
+    {
+        ++received_.starts;
+        accept(std::move(done));
+    }
+    void stop(const stop_order&, milliseconds,
+              std::function<void(const order_result&)> done) override
+    {
+        ++received_.stops;
+        accept(std::move(done));
+    }
+    void pace(const pace_order&, milliseconds,
+              std::function<void(const order_result&)> done) override
+    {
+        ++received_.paces;
+        accept(std::move(done));
+    }
+    void hold(const hold_order&, milliseconds,
+              std::function<void(const hold_report&)> done) override
+    {
+        ++received_.holds;
+        timers_.call_after(answer_delay, [done = std::move(done)] {
+            hold_report report;
+            report.result = accepted();
+            done(report);
+        });
+    }
+    bool holds_connected() const override { return true; }
+
+private:
+    void accept(std::function<void(const order_result&)> done)
+    {
+        timers_.call_after(answer_delay, [done = std::move(done)] { done(accepted()); });
+    }
+
+    static order_result accepted()
+    {
+        order_result result;
+        result.status = order_status::accepted;
+        result.worker_clock = 1000ms;
+        result.born = 1;
+        return result;
+    }
+
+    net::timer_service& timers_;
+    received_orders& received_;
+};
+
+class used_worker final : public session_listener {
+public:
+    void on_report(worker_session&, const hold_report&, net::boot_time) override {}
+    void on_restarted(worker_session&) override {}
+    void on_lost(worker_session&, const char*) override {}
+    void on_fenced(worker_session&) override {}
+    bool in_use(const worker_session&) const override { return true; }
+};
+
+class worker_session_test : public ::testing::Test {
+protected:
+    worker_session_test()
+    {
+        session_settings settings;
+        settings.may_act = [this] { return leading; };
+        listed_worker info;
+        info.id = "w0";
+        info.born = 1;
+        session.emplace(timers, listener, std::make_unique<counting_port>(timers, received), info,
+                        7, settings);
+        timers.run_for(20ms);
+    }
+
+    virtual_timers timers;
+    received_orders received;
+    used_worker listener;
+    bool leading = true;
+    std::optional<worker_session> session;
+};
+
+// A process that was suspended went on where it had stopped: orders decided before, and their
+// repetitions, were sent although the leadership had ended meanwhile, and renewed leases.
+TEST_F(worker_session_test, sends_nothing_once_the_leadership_may_have_ended)
+{
+    const auto before = received;
+    ASSERT_GT(before.holds, 0);
+    leading = false;
+    std::optional<order_status> outcome;
+    const auto note = [&outcome](const order_result& result) { outcome = result.status; };
+
+    session->start({}, 700ms, note);
+    timers.run_for(20ms);
+    EXPECT_EQ(outcome, order_status::not_sent);
+    outcome.reset();
+    session->stop({}, 700ms, note);
+    timers.run_for(20ms);
+    EXPECT_EQ(outcome, order_status::not_sent);
+    outcome.reset();
+    session->pace({}, 700ms, note);
+    timers.run_for(3s); // a renewal would have been due three times
+    EXPECT_EQ(outcome, order_status::not_sent);
+
+    EXPECT_EQ(received.starts, 0);
+    EXPECT_EQ(received.stops, 0);
+    EXPECT_EQ(received.paces, 0);
+    EXPECT_EQ(received.holds, before.holds);
+}
+
+TEST_F(worker_session_test, goes_on_once_the_leadership_is_certain_again)
+{
+    leading = false;
+    timers.run_for(1s);
+    const auto before = received;
+    leading = true;
+    timers.run_for(1s);
+    EXPECT_GT(received.holds, before.holds);
+    session->start({}, 700ms, [](const order_result&) {});
+    EXPECT_EQ(received.starts, 1);
+}
+
+} // namespace
+} // namespace jl::jobs
