Bound what documents of callers, workers and operators can ask for

An exception while a request was handled ended the process.

A request whose handling fails is answered 500, which leaves open whether it was carried out, and logged as request.failed.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -107,6 +107,7 @@
 
     void tick_soon();
     void tick();
+    static bool may_begin_another(const job& target);
     void begin_due_occurrences();
     void resolve_tasks();
     void retire_finished();
--- a/src/jobs/engine_periodic.cpp
+++ b/src/jobs/engine_periodic.cpp
@@ -21,6 +21,8 @@
 // most of the processor to what arrives from workers and callers, however large the fleet.
 constexpr int rest = 4;
 constexpr auto housekeeping_interval = 100ms;
+// Of one job, in all its occurrences.
+constexpr std::size_t max_tasks_in_progress = 10000;
 // Records of finished jobs are removed this long after the time that their state must be known.
 constexpr auto retention_slack = 20s;
 
@@ -52,6 +54,17 @@
     last_tick_took_ = timers_.now() - last_tick_;
 }
 
+// Occurrences that are due faster than they end wait their turn: each takes memory and room in the
+// job's record.
+bool engine::may_begin_another(const job& target)
+{
+    std::size_t tasks = 0;
+    for (const auto& step : target.spec.steps) {
+        tasks += static_cast<std::size_t>(step.count);
+    }
+    return tasks * (target.occurrences.size() + 1) <= max_tasks_in_progress;
+}
+
 void engine::begin_due_occurrences()
 {
     const auto now = to_unix(timers_.wall_now());
@@ -60,7 +73,8 @@
             continue;
         }
         while (target->next_occurrence < target->spec.occurrences &&
-               due_time(target->spec, target->next_occurrence) <= now) {
+               due_time(target->spec, target->next_occurrence) <= now &&
+               (target->occurrences.empty() || may_begin_another(*target))) {
             auto& occurrence = begin_occurrence(*target);
             occurrence.begun_version = record_change(*target);
         }
--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -1,7 +1,9 @@
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "net/async_client.h"
@@ -125,6 +127,28 @@
     EXPECT_EQ(server->open_requests(), 0U);
 }
 
+// An unexpected error while one request was handled ended the process.
+TEST_F(async_http, a_request_that_cannot_be_handled_is_answered_and_takes_nothing_down)
+{
+    serve([](const http::request& request, const responder& respond) {
+        if (request.target == "/bad") {
+            throw std::runtime_error("unexpected");
+        }
+        respond(http::json_response(200, "{}"));
+    });
+    send("/bad");
+    send("/good");
+    run_until(2);
+    ASSERT_EQ(results.size(), 2U);
+    std::vector<int> statuses;
+    for (const auto& result : results) {
+        ASSERT_TRUE(result.answer);
+        statuses.push_back(result.answer->status);
+    }
+    EXPECT_THAT(statuses, testing::UnorderedElementsAre(200, 500));
+    EXPECT_EQ(server->open_requests(), 0U);
+}
+
 TEST(http_framing, takes_whole_messages_only)
 {
     message_buffer buffer(1024, 1024);
--- a/src/net/async_server.cpp
+++ b/src/net/async_server.cpp
@@ -2,7 +2,10 @@
 
 #include <array>
 #include <cerrno>
+#include <exception>
+#include <memory>
 #include <unordered_map>
+#include <utility>
 
 #include <Poco/Net/ServerSocket.h>
 #include <netinet/in.h>
@@ -19,6 +22,7 @@
 
 constexpr int listen_backlog = 512;
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
+constexpr int internal_error = 500;
 // A peer that acknowledges nothing for this long is taken for gone.
 constexpr unsigned int tcp_user_timeout_ms = 5000;
 
@@ -168,13 +172,28 @@
         open->busy = true;
         ++open_requests_;
         const bool close_requested = wants_close(request->headers);
-        std::weak_ptr<connection> reference = open;
-        handler_(std::move(*request), [this, reference, close_requested,
-                                       answered = false](const http::response& answer) mutable {
-            if (answered) {
+        const auto respond = make_responder(open, close_requested);
+        // One request that cannot be handled must not take down all others. The answer leaves open
+        // whether it has been carried out.
+        try {
+            handler_(std::move(*request), respond);
+        }
+        catch (const std::exception& fault) {
+            log_event(log_level::error, "request.failed", {{"reason", fault.what()}});
+            respond(http::error_response(internal_error, "internal_error",
+                                         "the request could not be handled"));
+        }
+    }
+
+    // Answers the request that the connection is busy with; later calls do nothing.
+    responder make_responder(const connection_ptr& open, bool close_requested)
+    {
+        const std::weak_ptr<connection> reference = open;
+        return [this, reference, close_requested,
+                answered = std::make_shared<bool>(false)](const http::response& answer) {
+            if (std::exchange(*answered, true)) {
                 return;
             }
-            answered = true;
             --open_requests_;
             const auto target = reference.lock();
             if (!target || target->closed) {
@@ -186,7 +205,7 @@
             if (!target->input.empty()) {
                 loop_.defer([this, target] { serve_next(target); });
             }
-        });
+        };
     }
 
     void send(const connection_ptr& open, const http::response& answer)
