Keep VMs whose ends are not recorded; give late work VMs that nobody wants

- 211 VMs were moved between 31.0 and 32.9 s, while the store was silent.
Ends of tasks on them were recorded nowhere, and gone with the workers: the next leader ran work again that had run.
A VM is not empty any more while ends of its worker are not in the store.
- The job had missed its objective.
Late work now gets a quarter of the VMs that it would fill, of those that no pool wants.

Ruled out: tasks left unresolved after the change of leaders, reservations that are never released, a queue missing in the configuration (debug output of the job's state: 5 of 8 tasks of its first step done, 3 waiting).

Beside it: an answer to a session that has ended is not taken any more.

Tests: fleet_changes.a_vm_whose_ends_are_not_recorded_stays and a_late_job_with_large_tasks_runs_in_the_end, both failed before; pool_sizing.gives_late_work_a_share_of_what_no_pool_wants.

--- a/src/decisions/job_decisions_test.cpp
+++ b/src/decisions/job_decisions_test.cpp
@@ -235,6 +235,28 @@
     EXPECT_NEAR(sizes[0], 2 * sizes[1], 2);
 }
 
+// Jobs that had missed their objective counted for nothing: a large task of theirs never ran, since
+// all VMs left in its pool ran long-running tasks (gerddi-jasmine-large, trouble-2: LOST).
+TEST(pool_sizing, gives_late_work_a_share_of_what_no_pool_wants)
+{
+    auto late = make_pool("rounds", 4, 0.3);
+    late.pinned_vms = 4;
+    late.late_load = 0.9;
+    auto standby = make_pool("office", 8, 0);
+    standby.standby = true;
+    EXPECT_EQ(size_pools({late, standby}, {}), (std::vector<int>{5, 7}));
+    late.late_load = 16;
+    EXPECT_EQ(size_pools({late, standby}, {}), (std::vector<int>{8, 4}));
+}
+
+TEST(pool_sizing, serves_work_in_time_before_late_work)
+{
+    auto late = make_pool("rounds", 4, 0.3);
+    late.late_load = 40;
+    const auto sizes = size_pools({late, make_pool("crews", 4, 9.0)}, {});
+    EXPECT_EQ(sizes, (std::vector<int>{2, 6}));
+}
+
 TEST(pool_sizing, leaves_vms_where_they_are_without_a_standby_pool)
 {
     EXPECT_EQ(size_pools({make_pool("rounds", 8, 0.1), make_pool("crews", 9, 0.1)}, {}),
--- a/src/decisions/pool_sizing.cpp
+++ b/src/decisions/pool_sizing.cpp
@@ -23,6 +23,11 @@
     return std::max(vms, least_vms(pool, settings));
 }
 
+int late_vms(const pool_state& pool, const sizing_settings& settings)
+{
+    return pool.standby ? 0 : static_cast<int>(std::ceil(pool.late_load * settings.late_share));
+}
+
 } // namespace
 
 std::vector<int> size_pools(const std::vector<pool_state>& pools, const sizing_settings& settings)
@@ -56,6 +61,11 @@
         ++sizes[neediest];
         --left;
     }
+    for (std::size_t index = 0; index < pools.size() && left > 0; ++index) {
+        const int given = std::min(left, late_vms(pools[index], settings));
+        sizes[index] += given;
+        left -= given;
+    }
     // What nobody wants is powered off, or stays where it is if no pool is.
     for (std::size_t index = 0; index < pools.size() && left > 0; ++index) {
         if (pools[index].standby) {
--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -192,9 +192,7 @@
             continue;
         }
         const bool lasting = target->spec.steps.front().long_running;
-        if (!lasting && remaining_chain(*target) > target->objective - now) {
-            continue; // too late: it takes what others leave
-        }
+        const bool late = !lasting && remaining_chain(*target) > target->objective - now;
         for (const auto& occurrence : target->occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& progress = occurrence.steps[step];
@@ -204,6 +202,10 @@
                 }
                 const double load = (static_cast<double>(progress.tasks.size()) - progress.done) *
                                     share_of_vm(spec.request, vm_capacity_);
+                if (late) {
+                    pool->second->late_load += load;
+                    continue;
+                }
                 if (spec.max_per_worker > 0) {
                     const int workers =
                         (spec.count + spec.max_per_worker - 1) / spec.max_per_worker;
@@ -338,6 +340,7 @@
                    {"target", std::to_string(sizes[index])},
                    {"load", std::to_string(pool.wanted_load)},
                    {"expected", std::to_string(pool.expected_load)},
+                   {"late", std::to_string(pool.late_load)},
                    {"pinned", std::to_string(pool.pinned_vms)}});
     }
 }
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -13,6 +13,7 @@
 
 using namespace std::chrono_literals;
 using testing::make_job;
+using testing::store_mode;
 using testing::test_fleet;
 
 const std::string job_id = "00000000000000a1";
@@ -396,5 +397,56 @@
     EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
+// Each VM of the pool runs a long-running task, and a job that has missed its objective needs more
+// of a VM than is left. It never ran, though VMs were powered off (gerddi-jasmine-large,
+// trouble-2).
+TEST_F(fleet_changes, a_late_job_with_large_tasks_runs_in_the_end)
+{
+    fleet.documents.config.queues[0].stretch = 0.1; // every job is late from its beginning
+    fleet.documents.config.queues[0].latency_objective = 1ms;
+    fleet.workers.plans[job_id].duration = 1h;
+    add_vms(3, 3);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    ASSERT_EQ(fleet.submit(lasting_job(job_id, 3, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(3s);
+    auto large = make_job("00000000000000b2", 2, 2);
+    for (auto& step : large.steps) {
+        step.request.millicores = 62000;
+    }
+    ASSERT_EQ(fleet.submit(large), submit_outcome::accepted);
+    EXPECT_TRUE(fleet.await_state("00000000000000b2", job_state::completed, 30s));
+    EXPECT_TRUE(fleet.workers.violations().empty());
+}
+
+// VMs whose tasks had ended were moved away while the store did not answer. The ends were recorded
+// nowhere, so a new leader ran the tasks again (gerddi-jasmine-large, trouble-2).
+TEST_F(fleet_changes, a_vm_whose_ends_are_not_recorded_stays)
+{
+    fleet.workers.fallback.duration = 3000ms;
+    add_vms(2, 4);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    auto job = make_job(job_id, 1, 4);
+    job.steps[0].request.millicores = 60000;
+    job.steps[0].estimate = 3000ms;
+    ASSERT_EQ(fleet.submit(job), submit_outcome::accepted);
+    while (fleet.workers.starts(job_id + ".0.0.3") == 0) {
+        fleet.timers.run_for(20ms);
+    }
+    fleet.timers.run_for(2500ms);
+    for (auto& [name, node] : fleet.nodes) {
+        node->store().mode = store_mode::silent;
+    }
+    fleet.timers.run_for(1950ms); // all tasks end, and the leader's lease does not
+    fleet.kill("a");
+    fleet.nodes.at("b")->store().mode = store_mode::serving;
+    ASSERT_TRUE(fleet.await_state(job_id, job_state::completed, 20s));
+    for (int index = 0; index < 4; ++index) {
+        EXPECT_EQ(fleet.workers.starts(task_name{job_id, 0, 0, index}.to_string()), 1);
+    }
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -88,8 +88,9 @@
         return false;
     }
     for (const auto* const slot : runner_.slots_on(vm)) {
-        // Also a worker whose registration has lapsed may run tasks.
-        if (!slot->assigned.empty()) {
+        // Also a worker whose registration has lapsed may run tasks. Ends that are not in the store
+        // yet would be lost with the worker, and their tasks would run again.
+        if (!slot->assigned.empty() || (!slot->pending_ends.empty() && !slot->session->dead())) {
             return false;
         }
     }
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -40,9 +40,9 @@
       port_(std::move(port)),
       info_(std::move(info)),
       token_(token),
-      settings_(settings),
+      settings_(std::move(settings)),
       born_(info_.born),
-      lease_bound_(timers.now() + on_our_clock(settings.former_lease) + lapse_slack)
+      lease_bound_(timers.now() + on_our_clock(settings_.former_lease) + lapse_slack)
 {
     check_lapse();
     schedule_hold(0ms);
@@ -138,6 +138,9 @@
 void worker_session::on_hold(const hold_report& report, net::boot_time asked)
 {
     holding_ = false;
+    if (dead_) {
+        return; // an answer of a life that has ended
+    }
     const auto alive = alive_;
     switch (report.result.status) {
     case order_status::accepted:
