Go on leading at once after an outage of the store

A leader that could not renew its lease was deposed when its lease might have ended. After an outage of the store the key still stood for the rest of its lease (a store that is down ends no leases), so nobody led for two seconds more, and the next leader read everything anew.

A leader whose lease may have ended now does nothing, but keeps its state and reads its key. If the key is still its own it renews the lease and goes on. It is deposed once the store says that the lease has ended or the key is another's.

Tests: engine.goes_on_leading_at_once_after_an_outage_of_the_store (failed before), and two in which lease or key are gone after the outage.

--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -472,5 +472,93 @@
     EXPECT_EQ(fleet.workers.holds(), 0U);
 }
 
+// The store out of reach for everybody, as when it is down.
+void set_store_mode(test_fleet& fleet, store_mode mode)
+{
+    for (auto& [name, node] : fleet.nodes) {
+        node->store().mode = mode;
+    }
+    fleet.store.pause_leases(mode != store_mode::serving);
+}
+
+// After an outage of the store nobody led until the lease of the former leader had ended: all work
+// stood for two seconds more, and its state was read anew.
+TEST(engine, goes_on_leading_at_once_after_an_outage_of_the_store)
+{
+    for (const auto mode : {store_mode::silent, store_mode::refusing}) {
+        test_fleet fleet;
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        fleet.add_node("b");
+        fleet.timers.run_for(100ms);
+        ASSERT_EQ(fleet.submit(make_job(job_id, 4, 3)), submit_outcome::accepted);
+        fleet.timers.run_for(500ms);
+        set_store_mode(fleet, mode);
+        fleet.timers.run_for(3500ms);
+        EXPECT_EQ(fleet.leader(), nullptr); // the lease may have ended for all it knows
+        set_store_mode(fleet, store_mode::serving);
+        EXPECT_TRUE(fleet.await_leader(600ms));
+        EXPECT_EQ(fleet.leader_name(), "a");
+        EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 8s));
+        expect_no_violation(fleet);
+    }
+}
+
+// The lease ends during the outage: the next leader takes over and the former one stays deposed.
+TEST(engine, gives_way_after_an_outage_in_which_its_lease_ended)
+{
+    test_fleet fleet;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    fleet.timers.run_for(100ms);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 4, 3)), submit_outcome::accepted);
+    const auto token = fleet.nodes.at("a")->election().leader()->token;
+    set_store_mode(fleet, store_mode::silent);
+    fleet.store.pause_leases(false);
+    fleet.timers.run_for(3500ms);
+    set_store_mode(fleet, store_mode::serving);
+    EXPECT_TRUE(fleet.await_leader(4s));
+    EXPECT_GT(fleet.nodes.at("a")->election().leader()->token, token);
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 15s));
+    expect_no_violation(fleet);
+}
+
+// The key is taken away during the outage, and the lease is not: its renewal alone must not let the
+// former leader go on.
+TEST(engine, gives_way_after_an_outage_in_which_its_key_was_taken_away)
+{
+    test_fleet fleet;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(100ms);
+    const auto token = fleet.nodes.at("a")->election().leader()->token;
+    set_store_mode(fleet, store_mode::silent);
+    fleet.timers.run_for(3500ms);
+    fleet.store.remove(leadership::leader_key);
+    set_store_mode(fleet, store_mode::serving);
+    EXPECT_TRUE(fleet.await_leader(4s));
+    EXPECT_GT(fleet.nodes.at("a")->election().leader()->token, token);
+}
+
+// A schedule without an interval made all its occurrences due at once: hundreds of thousands of
+// tasks began in one tick.
+TEST(engine, occurrences_that_are_due_at_once_wait_their_turn)
+{
+    test_fleet fleet;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto scheduled = make_job(job_id, 1, 100);
+    scheduled.occurrences = 500;
+    scheduled.first_run = 0ms;
+    scheduled.interval = 0ms;
+    ASSERT_EQ(fleet.submit(scheduled), submit_outcome::accepted);
+    fleet.timers.run_for(1s);
+    const auto record = fleet.store.find(std::string(job_prefix) + job_id);
+    ASSERT_NE(record, nullptr);
+    EXPECT_LT(record->value.size(), 40000U);
+    expect_no_violation(fleet);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -234,16 +234,15 @@
                                net::boot_time granted)
 {
     leading_ = true;
+    told_uncertain_ = false;
     lease_ = lease;
     valid_until_ = granted + lease.ttl;
     leader_ = record;
     log_event(log_level::info, "leader.elected",
               {{"term", std::to_string(record.term)}, {"token", std::to_string(record.token)}});
-    schedule_renewal(lease.ttl / renewals_per_ttl);
+    // An election may have taken longer than its lease lasts.
+    schedule_renewal(holds() ? lease.ttl / renewals_per_ttl : milliseconds(0));
     check_expiry();
-    if (!leading_) {
-        return; // the election took longer than the lease lasts
-    }
     callbacks_.leader_changed();
     callbacks_.elected(record);
 }
@@ -262,6 +261,36 @@
     if (!leading_) {
         return;
     }
+    if (uncertain()) {
+        confirm_key();
+        return;
+    }
+    send_renewal();
+}
+
+// A renewal whose answer does not arrive would keep the lease, and so everybody else from leading.
+// A leader that is cut off therefore reads its key first, which it may have lost meanwhile.
+void leadership::confirm_key()
+{
+    store_.get(leader_key, [this, token = leader_->token,
+                            alive = alive_](const store_result<store_item>& result) {
+        if (!*alive || !leading_ || leader_->token != token) {
+            return;
+        }
+        if (!result.value) {
+            schedule_renewal(renewal_retry_delay);
+            return;
+        }
+        if (result.value->revision != token) {
+            step_down("the leader key is no longer ours");
+            return;
+        }
+        send_renewal();
+    });
+}
+
+void leadership::send_renewal()
+{
     const auto asked = timers_.now();
     const auto lease = lease_.id;
     store_.renew_lease(
@@ -272,6 +301,7 @@
             if (result.value) {
                 valid_until_ = std::max(valid_until_, asked + *result.value);
                 schedule_renewal(lease_.ttl / renewals_per_ttl);
+                check_expiry();
                 return;
             }
             if (result.error == store_error::lease_ended) {
@@ -290,9 +320,14 @@
         return;
     }
     const auto left = valid_until_ - timers_.now();
+    if (told_uncertain_ != (left <= 0ms)) {
+        told_uncertain_ = left <= 0ms;
+        log_event(told_uncertain_ ? log_level::warning : log_level::info,
+                  told_uncertain_ ? "leader.uncertain" : "leader.certain",
+                  {{"term", std::to_string(leader_->term)}});
+    }
     if (left <= 0ms) {
-        step_down("the lease could not be renewed in time");
-        return;
+        return; // looked at again once the lease has been renewed
     }
     expiry_timer_ = timers_.call_after(left, [this] { check_expiry(); });
 }
--- a/src/jobs/leadership.h
+++ b/src/jobs/leadership.h
@@ -41,6 +41,10 @@
 // suspension, so it stops before the store ends the lease. The store may take the key away earlier;
 // the fencing token protects the workers then.
 //
+// A leader whose lease may have ended does nothing, but keeps asking for its key: a store that was
+// out of reach for all has not ended the lease, and nobody else can have been elected meanwhile. It
+// is deposed once the store tells that the lease has ended or the key is another's.
+//
 //   leadership election(timers, store, settings, {on_elected, on_deposed, on_leader_changed});
 //   election.start();
 //
@@ -67,6 +71,8 @@
 
     // True while the lease certainly holds. Asked right before each order.
     bool holds() const;
+    // True while this process is the last leader known, but its lease may have ended.
+    bool uncertain() const { return leading_ && !holds(); }
     // The last leader seen, possibly this process.
     const std::optional<leader_record>& leader() const { return leader_; }
     // Reads the leader again soon, because it does not answer.
@@ -87,6 +93,8 @@
                          net::boot_time granted);
     void schedule_renewal(milliseconds delay);
     void renew();
+    void confirm_key();
+    void send_renewal();
     void check_expiry();
     void learn(const std::optional<leader_record>& leader);
     void become_leader(const leader_record& record, const store_lease& lease,
@@ -104,6 +112,7 @@
     store_lease lease_;
     net::boot_time valid_until_{};
     bool leading_ = false;
+    bool told_uncertain_ = false;
     bool resigned_ = false;
     bool standing_ = false; // a campaign is under way
     bool reading_ = false;
--- a/src/jobs/testing/fake_store.cpp
+++ b/src/jobs/testing/fake_store.cpp
@@ -81,8 +81,24 @@
     }
 }
 
+void fake_store::pause_leases(bool paused)
+{
+    if (paused) {
+        paused_since_ = timers_.now();
+        return;
+    }
+    const auto pause = timers_.now() - paused_since_.value_or(timers_.now());
+    paused_since_.reset();
+    for (auto& [id, lease] : leases_) {
+        lease.ends += pause;
+    }
+}
+
 void fake_store::expire_leases()
 {
+    if (paused_since_) {
+        return;
+    }
     const auto now = timers_.now();
     for (auto next = leases_.begin(); next != leases_.end();) {
         if (next->second.ends > now) {
--- a/src/jobs/testing/fake_store.h
+++ b/src/jobs/testing/fake_store.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     void remove(const std::string& key);
     const store_item* find(const std::string& key) const;
     std::size_t transactions() const { return transactions_; }
+    // No lease ends while this holds, as in a store that is down; those left run on afterwards.
+    void pause_leases(bool paused);
 
 private:
     struct lease_state {
@@ -62,6 +65,7 @@
     std::map<std::int64_t, lease_state> leases_;
     std::vector<event> events_;
     std::map<std::int64_t, waiting_watch> watches_;
+    std::optional<net::boot_time> paused_since_; // leases run if there is none
     std::int64_t revision_ = 1;
     std::int64_t next_lease_ = 1;
     std::int64_t next_watch_ = 1;
