Take a VM for gone only when the lists have not named it for eight seconds

One list that leaves a VM out had the same effect, and made a move forget its reservation.

vm_directory::gone compares the readings with when the VM was last named or first asked for.

Tests: fleet_changes.a_wave_maintains_a_vm_that_one_list_leaves_out, a_wave_maintains_a_vm_that_the_list_names_late, a_wave_ends_without_a_vm_that_is_gone.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -115,7 +115,7 @@
         if (arrived && directory_.powered_off(*vm)) {
             directory_.ended(move.order.former_worker());
         }
-        if (vm == nullptr || arrived || lost) {
+        if (arrived || lost || directory_.gone(next->first, move.planned_at)) {
             reservations_.release(next->first, vm_purpose::move);
             next = moves_.erase(next);
         }
@@ -319,7 +319,7 @@
                                   const std::string& to)
 {
     if (reservations_.reserve(vm, vm_purpose::move)) {
-        moves_[vm] = {from, to, {}};
+        moves_[vm] = {from, to, {}, timers_.now()};
     }
 }
 
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -43,6 +43,7 @@
         std::string from;
         std::string to;
         vm_order order{}; // not given: the VM is still being emptied
+        net::boot_time planned_at{};
     };
     struct pool_members {
         std::vector<const fleet_vm*> vms;
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -448,5 +448,52 @@
     }
 }
 
+// A VM that one list had left out counted as gone, and its wave as completed without it
+// (plumin-quito-grown, fresh-a47c: MIXED).
+TEST_F(fleet_changes, a_wave_maintains_a_vm_that_one_list_leaves_out)
+{
+    add_vms(4, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    fleet.vms.left_out = {"m2"};
+    fleet.request_wave(wave_of(4, 1));
+    fleet.timers.run_for(1s);
+    fleet.vms.left_out.clear();
+    fleet.timers.run_for(20s);
+    EXPECT_EQ(fleet.vms.maintained(), 4);
+    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+}
+
+// A VM that was added a moment ago is named in a wave before the list names it.
+TEST_F(fleet_changes, a_wave_maintains_a_vm_that_the_list_names_late)
+{
+    add_vms(4, 0);
+    fleet.vms.left_out = {"m2"};
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(10s);
+    fleet.request_wave(wave_of(4, 1));
+    fleet.timers.run_for(3s);
+    fleet.vms.left_out.clear();
+    fleet.timers.run_for(20s);
+    EXPECT_EQ(fleet.vms.maintained(), 4);
+    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+}
+
+// One that has left the fleet does not hold its wave up.
+TEST_F(fleet_changes, a_wave_ends_without_a_vm_that_is_gone)
+{
+    add_vms(4, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    fleet.vms.left_out = {"m2"};
+    fleet.request_wave(wave_of(4, 1));
+    fleet.timers.run_for(25s);
+    EXPECT_EQ(fleet.vms.maintained(), 3);
+    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -89,7 +89,12 @@
         while (history_.size() > 1 && history_[1].first <= timers_.now() - list_lag) {
             history_.pop_front();
         }
-        done(history_.front().second);
+        auto listed = history_.front().second;
+        listed.erase(
+            std::remove_if(listed.begin(), listed.end(),
+                           [this](const fleet_vm& vm) { return left_out.count(vm.vm) != 0; }),
+            listed.end());
+        done(std::move(listed));
     });
 }
 
--- a/src/jobs/testing/fake_vms.h
+++ b/src/jobs/testing/fake_vms.h
@@ -39,6 +39,8 @@
     int max_open_orders = 1000;
     // VMs whose worker the list does not name.
     std::set<std::string> nameless;
+    // VMs that the list leaves out.
+    std::set<std::string> left_out;
     // The list shows what was so long ago.
     milliseconds list_lag{0};
 
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -14,6 +14,8 @@
 constexpr auto read_interval_per_vm = 500us;
 // Longer than the list lags and than a VM takes to come back with another worker.
 constexpr auto settled_after = 3500ms;
+// Several readings of the list, also of a long one.
+constexpr auto gone_after = 8000ms;
 
 } // namespace
 
@@ -47,6 +49,7 @@
             position_.clear();
             for (std::size_t index = 0; index < vms_.size(); ++index) {
                 position_[vms_[index].vm] = index;
+                last_seen_[vms_[index].vm] = now;
             }
         }
     });
@@ -58,6 +61,13 @@
     return found == position_.end() ? nullptr : &vms_[found->second];
 }
 
+bool vm_directory::gone(const std::string& vm, net::boot_time known_since) const
+{
+    const auto seen = last_seen_.find(vm);
+    const auto since = seen == last_seen_.end() ? known_since : std::max(seen->second, known_since);
+    return listed_at_ >= since + gone_after;
+}
+
 worker_slot* vm_directory::slot_of(const std::string& vm)
 {
     worker_slot* newest = nullptr;
--- a/src/jobs/vm_directory.h
+++ b/src/jobs/vm_directory.h
@@ -29,6 +29,9 @@
 
     const std::vector<fleet_vm>& vms() const { return vms_; }
     const fleet_vm* find(const std::string& vm) const;
+    // True once the lists have not named the VM for a while, which is known of since `known_since`:
+    // the list lags behind VMs that are added.
+    bool gone(const std::string& vm, net::boot_time known_since) const;
     // The worker on a VM; null if it has none that is known. The list lags: the worker that has
     // registered itself last goes before the one that the list names.
     worker_slot* slot_of(const std::string& vm);
@@ -49,7 +52,8 @@
     task_runner& runner_;
     std::set<std::string> standby_pools_;
     std::vector<fleet_vm> vms_;
-    std::unordered_map<std::string, std::size_t> position_; // in `vms_`, by VM
+    std::unordered_map<std::string, std::size_t> position_;     // in `vms_`, by VM
+    std::unordered_map<std::string, net::boot_time> last_seen_; // when a list named the VM, by VM
     net::boot_time listed_at_{};
     net::boot_time next_read_{};
     bool reading_ = false;
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -69,6 +69,7 @@
         return;
     }
     progress.request = wave;
+    progress.known_since = timers_.now();
     for (const auto& vm : wave.vms) {
         progress.vms[vm];
     }
@@ -115,8 +116,10 @@
             listed->state == vm_state::up) {
             finish_vm(wave, name);
         }
-        if (listed == nullptr && vm.phase != wave_phase::finished) {
-            finish_vm(wave, name); // it has left the fleet
+        if (vm.phase != wave_phase::finished && directory_.gone(name, wave.known_since)) {
+            log_event(log_level::info, "wave.vm_gone",
+                      {{"wave", std::to_string(wave.request.wave)}, {"vm", name}});
+            finish_vm(wave, name);
         }
         all_finished = all_finished && vm.phase == wave_phase::finished;
     }
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -50,6 +50,7 @@
     };
     struct wave_progress {
         wave_request request;
+        net::boot_time known_since{};
         std::map<std::string, wave_vm> vms;
         bool completed = false;
         bool status_written = false; // the present state is known to operators
