--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -28,6 +28,9 @@
 struct job;
 struct step_progress;
 
+// Stands for the time of a confirmation that has not come.
+constexpr net::boot_time order_unconfirmed{};
+
 // One task of one occurrence of a job, as the leader knows it.
 struct task {
     job* owner = nullptr;
@@ -48,7 +51,7 @@
     int pace = 100;                   // percent of its speed that we allow
     net::boot_time changed{};         // when `phase` or `percent` changed last
     net::boot_time not_before{};      // no start before
-    net::boot_time order_confirmed{}; // when the worker accepted the last order; epoch: not yet
+    net::boot_time order_confirmed{}; // when the worker accepted the last order
     int order_attempts = 0;           // of the last order
     std::string ticket;               // the advisor's, for the last start
 
