Start two nodes and check a wave's end in one place each in the tests

Seven tests of the engine repeated the start of a leader and a standby, four of fleet_changes the end of a wave.

--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -62,10 +62,7 @@
     for (int moment = 0; moment < 2400; moment += 37) {
         SCOPED_TRACE("leader killed after " + std::to_string(moment) + " ms");
         test_fleet fleet;
-        fleet.add_node("a");
-        ASSERT_TRUE(fleet.await_leader());
-        fleet.add_node("b");
-        fleet.timers.run_for(100ms);
+        ASSERT_TRUE(fleet.start_leader_and_standby());
         ASSERT_EQ(fleet.submit(make_job(job_id, 2, 3)), submit_outcome::accepted);
         fleet.timers.run_for(milliseconds(moment));
         fleet.kill("a");
@@ -82,10 +79,7 @@
         SCOPED_TRACE("leader killed after " + std::to_string(moment) + " ms");
         test_fleet fleet;
         fleet.workers.fallback.duration = 8000ms;
-        fleet.add_node("a");
-        ASSERT_TRUE(fleet.await_leader());
-        fleet.add_node("b");
-        fleet.timers.run_for(100ms);
+        ASSERT_TRUE(fleet.start_leader_and_standby());
         ASSERT_EQ(fleet.submit(make_job(job_id, 1, 3)), submit_outcome::accepted);
         fleet.timers.run_for(milliseconds(moment));
         for (int worker = 0; worker < 3; ++worker) {
@@ -104,10 +98,7 @@
     for (const auto mode : {store_mode::silent, store_mode::refusing, store_mode::answer_lost}) {
         SCOPED_TRACE(static_cast<int>(mode));
         test_fleet fleet;
-        fleet.add_node("a");
-        ASSERT_TRUE(fleet.await_leader());
-        fleet.add_node("b");
-        fleet.timers.run_for(100ms);
+        ASSERT_TRUE(fleet.start_leader_and_standby());
         ASSERT_EQ(fleet.submit(make_job(job_id, 3, 3)), submit_outcome::accepted);
         fleet.timers.run_for(500ms);
         fleet.nodes.at("a")->store().mode = mode;
@@ -124,10 +115,7 @@
 TEST(engine, revoked_leader_cannot_start_tasks_twice)
 {
     test_fleet fleet;
-    fleet.add_node("a");
-    ASSERT_TRUE(fleet.await_leader());
-    fleet.add_node("b");
-    fleet.timers.run_for(100ms);
+    ASSERT_TRUE(fleet.start_leader_and_standby());
     ASSERT_EQ(fleet.submit(make_job(job_id, 3, 6)), submit_outcome::accepted);
     fleet.timers.run_for(300ms);
     fleet.nodes.at("a")->store().mode = store_mode::silent;
@@ -172,10 +160,7 @@
     fleet.documents.config.queues.at(0).max_attempts = 3;
     fleet.workers.fallback.duration = 2500ms;
     fleet.workers.fallback.failures = 100;
-    fleet.add_node("a");
-    ASSERT_TRUE(fleet.await_leader());
-    fleet.add_node("b");
-    fleet.timers.run_for(100ms);
+    ASSERT_TRUE(fleet.start_leader_and_standby());
     ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
     fleet.timers.run_for(2300ms);
     const auto first = fleet.workers.worker_of(task);
@@ -487,10 +472,7 @@
 {
     for (const auto mode : {store_mode::silent, store_mode::refusing}) {
         test_fleet fleet;
-        fleet.add_node("a");
-        ASSERT_TRUE(fleet.await_leader());
-        fleet.add_node("b");
-        fleet.timers.run_for(100ms);
+        ASSERT_TRUE(fleet.start_leader_and_standby());
         ASSERT_EQ(fleet.submit(make_job(job_id, 4, 3)), submit_outcome::accepted);
         fleet.timers.run_for(500ms);
         set_store_mode(fleet, mode);
@@ -508,10 +490,7 @@
 TEST(engine, gives_way_after_an_outage_in_which_its_lease_ended)
 {
     test_fleet fleet;
-    fleet.add_node("a");
-    ASSERT_TRUE(fleet.await_leader());
-    fleet.add_node("b");
-    fleet.timers.run_for(100ms);
+    ASSERT_TRUE(fleet.start_leader_and_standby());
     ASSERT_EQ(fleet.submit(make_job(job_id, 4, 3)), submit_outcome::accepted);
     const auto token = fleet.nodes.at("a")->election().leader()->token;
     set_store_mode(fleet, store_mode::silent);
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -81,6 +81,15 @@
         return wave;
     }
 
+    // The wave is told as completed, and so many VMs were maintained.
+    void expect_wave_completed(int maintained) const
+    {
+        EXPECT_EQ(fleet.vms.maintained(), maintained);
+        const auto* const status = fleet.store.find("status/1");
+        ASSERT_NE(status, nullptr);
+        EXPECT_EQ(status->value, "completed");
+    }
+
     test_fleet fleet{0};
 };
 
@@ -118,8 +127,7 @@
     fleet.timers.run_for(4s);
     fleet.request_wave(wave_of(5, 2));
     EXPECT_LE(longest_absence(50s, 5), 3000ms);
-    EXPECT_EQ(fleet.vms.maintained(), 5);
-    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+    expect_wave_completed(5);
 }
 
 // A wave goes on under a new leader, and VMs that are done are not taken down again.
@@ -461,8 +469,7 @@
     fleet.timers.run_for(1s);
     fleet.vms.left_out.clear();
     fleet.timers.run_for(20s);
-    EXPECT_EQ(fleet.vms.maintained(), 4);
-    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+    expect_wave_completed(4);
 }
 
 // A VM that was added a moment ago is named in a wave before the list names it.
@@ -477,8 +484,7 @@
     fleet.timers.run_for(3s);
     fleet.vms.left_out.clear();
     fleet.timers.run_for(20s);
-    EXPECT_EQ(fleet.vms.maintained(), 4);
-    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+    expect_wave_completed(4);
 }
 
 // One that has left the fleet does not hold its wave up.
@@ -491,8 +497,7 @@
     fleet.vms.left_out = {"m2"};
     fleet.request_wave(wave_of(4, 1));
     fleet.timers.run_for(25s);
-    EXPECT_EQ(fleet.vms.maintained(), 3);
-    EXPECT_EQ(fleet.store.find("status/1")->value, "completed");
+    expect_wave_completed(3);
 }
 
 } // namespace
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -128,6 +128,17 @@
     return leader() != nullptr;
 }
 
+bool test_fleet::start_leader_and_standby()
+{
+    add_node("a");
+    if (!await_leader()) {
+        return false;
+    }
+    add_node("b");
+    timers.run_for(100ms);
+    return true;
+}
+
 std::optional<submit_outcome> test_fleet::submit(job_spec spec, milliseconds limit)
 {
     // Shared: the answer may come after this function has given up.
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -112,6 +112,10 @@
     // Runs until a leader is ready, at most `limit`. Returns false if none is.
     bool await_leader(milliseconds limit = milliseconds(5000));
 
+    // Starts node "a", waits until it leads, and starts node "b", which follows it. Returns false
+    // if nobody leads.
+    bool start_leader_and_standby();
+
     // Submits to the leader and returns the outcome once known, at most after `limit`.
     std::optional<submit_outcome> submit(job_spec spec, milliseconds limit = milliseconds(2000));
     std::optional<cancel_outcome> cancel(const std::string& id,
