Keep the roster in one map, and the bound on a job's tasks in one place

The roster held entries, members and versions in three maps that had to agree; each record now has its members and its version. Behaviour unchanged.

--- a/src/jobs/engine_periodic.cpp
+++ b/src/jobs/engine_periodic.cpp
@@ -21,8 +21,6 @@
 // most of the processor to what arrives from workers and callers, however large the fleet.
 constexpr int tick_spacing = 4;
 constexpr auto housekeeping_interval = 100ms;
-// Of one job, in all its occurrences.
-constexpr std::size_t max_tasks_in_progress = 10000;
 // Records of finished jobs are removed this long after the time that their state must be known.
 constexpr auto retention_slack = 20s;
 
@@ -58,11 +56,11 @@
 // job's record.
 bool engine::may_begin_another(const job& target)
 {
-    std::size_t tasks = 0;
+    std::int64_t tasks = 0;
     for (const auto& step : target.spec.steps) {
-        tasks += static_cast<std::size_t>(step.count);
+        tasks += step.count;
     }
-    return tasks * (target.occurrences.size() + 1) <= max_tasks_in_progress;
+    return tasks * static_cast<std::int64_t>(target.occurrences.size() + 1) <= max_tasks_per_job;
 }
 
 void engine::begin_due_occurrences()
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -46,6 +46,10 @@
     int max_unavailable = 0;        // tasks that may be away through our own actions
 };
 
+// Tasks of a job, in all steps and occurrences in progress: they must fit into the memory of the
+// smallest node.
+constexpr std::int64_t max_tasks_per_job = 10000;
+
 // A job as submitted. Immutable.
 struct job_spec {
     std::string id;
--- a/src/jobs/worker_roster.cpp
+++ b/src/jobs/worker_roster.cpp
@@ -1,5 +1,6 @@
 #include "jobs/worker_roster.h"
 
+#include <numeric>
 #include <utility>
 
 #include <xxhash.h>
@@ -38,69 +39,70 @@
         log_event(log_level::error, "roster.record_unreadable", {{"key", item.key}});
         return {};
     }
+    auto& members = records_[item.key].members;
     for (const auto& entry : *decoded) {
-        entries_[entry.worker] = entry;
-        members_[item.key][entry.worker] = 0;
+        members[entry.worker] = {entry, 0};
     }
     return std::move(*decoded);
 }
 
-void worker_roster::change(const std::string& key)
+std::size_t worker_roster::size() const
 {
-    ++versions_[key];
-    mark_(key);
+    return std::accumulate(
+        records_.begin(), records_.end(), std::size_t{0},
+        [](std::size_t sum, const auto& record) { return sum + record.second.members.size(); });
 }
 
 void worker_roster::set(const roster_entry& entry)
 {
-    const auto found = entries_.find(entry.worker);
-    if (found != entries_.end() && found->second == entry) {
+    const auto key = key_of(entry.worker);
+    auto& record = records_[key];
+    const auto found = record.members.find(entry.worker);
+    if (found != record.members.end() && found->second.entry == entry) {
         return;
     }
-    const auto key = key_of(entry.worker);
-    change(key);
-    entries_[entry.worker] = entry;
-    members_[key][entry.worker] = versions_[key];
+    record.members[entry.worker] = {entry, ++record.version};
+    mark_(key);
 }
 
 void worker_roster::erase(const std::string& worker)
 {
-    if (entries_.erase(worker) != 0) {
-        const auto key = key_of(worker);
-        members_[key].erase(worker);
-        change(key);
+    const auto key = key_of(worker);
+    auto& record = records_[key];
+    if (record.members.erase(worker) != 0) {
+        ++record.version;
+        mark_(key);
     }
 }
 
 record_writer::record worker_roster::encode(const std::string& key) const
 {
-    record_writer::record record;
-    const auto members = members_.find(key);
-    if (members == members_.end() || members->second.empty()) {
-        record.removed = true;
+    record_writer::record encoded;
+    const auto found = records_.find(key);
+    if (found == records_.end() || found->second.members.empty()) {
+        encoded.removed = true;
     }
     else {
         std::vector<roster_entry> entries;
-        for (const auto& [worker, version] : members->second) {
-            entries.push_back(entries_.at(worker));
+        for (const auto& [worker, member] : found->second.members) {
+            entries.push_back(member.entry);
         }
-        record.value = encode_roster(entries);
+        encoded.value = encode_roster(entries);
     }
-    const auto version = versions_.find(key);
-    record.version = version == versions_.end() ? 0 : version->second;
-    return record;
+    encoded.version = found == records_.end() ? 0 : found->second.version;
+    return encoded;
 }
 
 std::vector<std::string> worker_roster::on_durable(const std::string& key,
                                                    std::int64_t version) const
 {
     std::vector<std::string> workers;
-    const auto members = members_.find(key);
-    if (members == members_.end()) {
+    const auto found = records_.find(key);
+    if (found == records_.end()) {
         return workers;
     }
-    for (const auto& [worker, named_since] : members->second) {
-        if (named_since <= version) {
+    for (const auto& [worker, member] : found->second.members) {
+        if (member.named_since <= version) {
             workers.push_back(worker);
         }
     }
--- a/src/jobs/worker_roster.h
+++ b/src/jobs/worker_roster.h
@@ -31,7 +31,7 @@
 
     void set(const roster_entry& entry);
     void erase(const std::string& worker);
-    std::size_t size() const { return entries_.size(); }
+    std::size_t size() const;
 
     record_writer::record encode(const std::string& key) const;
     // Version `version` of a record is in the store. Returns the workers whose present entries are
@@ -39,14 +39,18 @@
     std::vector<std::string> on_durable(const std::string& key, std::int64_t version) const;
 
 private:
+    struct member {
+        roster_entry entry;
+        std::int64_t named_since = 0; // version of the record that first holds this entry
+    };
+    struct roster_record {
+        std::int64_t version = 0;
+        std::map<std::string, member> members; // by worker
+    };
     static std::string key_of(const std::string& worker);
-    void change(const std::string& key);
 
     std::function<void(const std::string& key)> mark_;
-    std::map<std::string, roster_entry> entries_; // by worker
-    // The workers of each record, with the version of it that first holds the present entry.
-    std::map<std::string, std::map<std::string, std::int64_t>> members_;
-    std::map<std::string, std::int64_t> versions_; // by key
+    std::map<std::string, roster_record> records_; // by key
 };
 
 } // namespace jl::jobs
