Order only VMs that the previous leader has left alone, and keep the others in use

Load pattern: nodes restart in turn, or all lose power, while demand peaks move most VMs.

Cause: a new leader may not order a VM within 3.3 s of the previous leader's order. It also powered VMs off at once, as its history of pool sizes was empty.

Change: the record states how long ago each VM was ordered; an order is sent only once a durable record names the VM with age 0. VMs that may not be ordered yet are not chosen. Nothing is powered off before the pools have been observed for the delay of surplus moves.

Ruled out: platform_slow and the rack that goes dark in the same seconds; the VMs stood idle from before them.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -46,16 +46,19 @@
 
 capacity_manager::capacity_manager(net::timer_service& timers, vm_port& vms,
                                    vm_directory& directory, vm_reservations& reservations,
-                                   job_table& jobs, std::int64_t token, milliseconds move_time,
+                                   const vm_order_log& orders, job_table& jobs, std::int64_t token,
+                                   milliseconds move_time,
                                    std::function<bool(const std::string&)> may_order)
     : timers_(timers),
       vm_port_(vms),
       directory_(directory),
       reservations_(reservations),
+      orders_(orders),
       jobs_(jobs),
       token_(token),
       move_time_(move_time),
-      may_order_(std::move(may_order))
+      may_order_(std::move(may_order)),
+      created_at_(timers.now())
 {
 }
 
@@ -223,7 +226,8 @@
 
 bool capacity_manager::movable(const fleet_vm& vm)
 {
-    if (vm.state != vm_state::up || reservations_.reserved(vm.vm)) {
+    if (vm.state != vm_state::up || reservations_.reserved(vm.vm) ||
+        orders_.held_by_previous_leader(vm.vm)) {
         return false;
     }
     const auto refused = backoff_until_.find(vm.vm);
@@ -277,10 +281,14 @@
     std::map<std::string, int> missing;
     std::vector<pool_surplus> surplus;
     std::string standby;
+    // A new leader knows neither recent arrivals nor recent sizes.
+    const bool sizes_observed_long_enough = timers_.now() >= created_at_ + surplus_delay;
     for (std::size_t index = 0; index < pools.size(); ++index) {
         const auto& pool = pools[index];
         const int difference = pool.vms - sizes[index];
-        const int sustained_surplus = pool.vms - largest_recent_size(pool.pool, sizes[index]);
+        const int recent_size = largest_recent_size(pool.pool, sizes[index]);
+        const int sustained_surplus =
+            sizes_observed_long_enough ? pool.vms - recent_size : 0;
         if (pool.standby) {
             standby = pool.pool;
             surplus.insert(surplus.begin(), {pool.pool, pool.vms, 0});
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -87,12 +87,12 @@
     vm_directory_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
     wave_manager_ = std::make_unique<wave_manager>(
         timers_, *ports_.vms, *vm_directory_, *ports_.store, *ports_.documents, *runner_,
-        reservations_, leader_, may_order, may_act_, [this](const task& candidate) {
+        reservations_, *vm_orders_, leader_, may_order, may_act_, [this](const task& candidate) {
             return config_ && scheduler_->fits_elsewhere(candidate, *config_);
         });
-    capacity_manager_ =
-        std::make_unique<capacity_manager>(timers_, *ports_.vms, *vm_directory_, reservations_,
-                                           jobs_, leader_.token, settings_.move_time, may_order);
+    capacity_manager_ = std::make_unique<capacity_manager>(
+        timers_, *ports_.vms, *vm_directory_, reservations_, *vm_orders_, jobs_, leader_.token,
+        settings_.move_time, may_order);
 }
 
 engine::~engine()
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -344,6 +344,34 @@
     EXPECT_EQ(fleet.vms.conflicting_orders(), 0);
 }
 
+// Load pattern: a demand peak has moved VMs into the pool, its leader ends, and demand goes on.
+// Guards against a new leader that plans moves of VMs which it may not order yet: they stood idle
+// for three seconds. It also knows too little of the demand to power VMs off at once.
+TEST_F(fleet_changes, new_leader_uses_the_vms_that_were_moved_before_it)
+{
+    add_vms(2, 14);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(1s);
+    fleet.leader()->submit(make_job("00000000000000a2", 1, 160), [](submit_outcome) {});
+    fleet.timers.run_for(2200ms);
+    const int pool_size = fleet.vms.vms_in("rounds");
+    ASSERT_GE(pool_size, 9);
+    fleet.kill("a");
+    fleet.add_node("b");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(600ms);
+    EXPECT_EQ(fleet.vms.vms_in("rounds"), pool_size);
+    // Needs all VMs of the pool and runs for a second.
+    fleet.workers.plans_by_job[job_id].duration = 1s;
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 8 * pool_size)), submit_outcome::accepted);
+    fleet.timers.run_for(400ms);
+    EXPECT_GE(count_running_tasks(8 * pool_size), 6 * pool_size);
+    fleet.timers.run_for(8s);
+    EXPECT_EQ(fleet.vms.conflicting_orders(), 0);
+    EXPECT_TRUE(fleet.workers.violations().empty());
+}
+
 // Guards against a new leader that assumes running tasks on each worker of a recently powered-off
 // VM: with a roster of 644 workers on 355 VMs, tasks waited for seven seconds.
 TEST_F(fleet_changes, tasks_do_not_wait_for_workers_of_powered_off_vms)
--- a/src/jobs/vm_order_log.cpp
+++ b/src/jobs/vm_order_log.cpp
@@ -1,5 +1,6 @@
 #include "jobs/vm_order_log.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -17,6 +18,12 @@
 // order can take effect.
 constexpr auto retention = 8000ms;
 
+// Rounded down.
+std::int64_t whole_milliseconds(net::boot_clock::duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 } // namespace
 
 vm_order_log::vm_order_log(net::timer_service& timers, milliseconds interval,
@@ -32,30 +39,44 @@
 void vm_order_log::load(const store_item& item)
 {
     const auto document = nlohmann::json::parse(item.value, nullptr, false);
-    if (!document.is_array()) {
+    if (!document.is_object()) {
         log_event(log_level::error, "vm_orders.record_unreadable", {{"key", item.key}});
         previous_record_unreadable_ = true;
         return;
     }
-    for (const auto& vm : document) {
-        if (vm.is_string()) {
-            previous_leader_vms_.insert(vm.get<std::string>());
-        }
+    // The record may have been written long before the change of leaders, so the true ages are the
+    // stated ones or higher.
+    for (const auto& [vm, age] : document.items()) {
+        const milliseconds at_least(age.is_number_integer() ? age.get<std::int64_t>() : 0);
+        held_until_[vm] = last_hold_end() - std::max(at_least, milliseconds(0));
+    }
+}
+
+net::boot_time vm_order_log::last_hold_end() const
+{
+    return created_at_ + interval_ + interval_margin;
+}
+
+bool vm_order_log::held_by_previous_leader(const std::string& vm) const
+{
+    if (previous_record_unreadable_) {
+        return timers_.now() < last_hold_end();
     }
+    const auto held = held_until_.find(vm);
+    return held != held_until_.end() && timers_.now() < held->second;
 }
 
 bool vm_order_log::may_order(const std::string& vm)
 {
-    const auto now = timers_.now();
-    const bool ordered_by_previous_leader =
-        previous_record_unreadable_ || previous_leader_vms_.count(vm) != 0;
-    if (ordered_by_previous_leader && now < created_at_ + interval_ + interval_margin) {
+    if (held_by_previous_leader(vm)) {
         return false;
     }
+    const auto now = timers_.now();
     auto& logged_vm = logged_vms_[vm];
     logged_vm.last_requested = now;
-    if (logged_vm.version == 0) {
+    if (logged_vm.version == 0 || logged_vm.aged) {
         logged_vm.version = ++version_;
+        logged_vm.aged = false;
         remove_expired();
         changed_();
     }
@@ -70,20 +91,26 @@
     }
 }
 
-std::string vm_order_log::encode() const
+std::string vm_order_log::encode()
 {
-    auto names = nlohmann::json::array();
-    for (const auto& [vm, logged_vm] : logged_vms_) {
-        names.push_back(vm);
-    }
+    const auto now = timers_.now();
+    auto ages = nlohmann::json::object();
     // Orders of the previous leader may still be in progress, and the next leader must know of
     // them.
-    if (timers_.now() < created_at_ + interval_ + interval_margin) {
-        for (const auto& vm : previous_leader_vms_) {
-            names.push_back(vm);
+    for (const auto& [vm, held_until] : held_until_) {
+        if (now < held_until) {
+            ages[vm] = whole_milliseconds(interval_ + interval_margin - (held_until - now));
         }
     }
-    return names.dump();
+    for (auto& [vm, logged_vm] : logged_vms_) {
+        // An order may be sent as soon as this version is durable. Age 0 holds until then, because
+        // the next leader counts it from its own start.
+        const bool order_follows = logged_vm.version > durable_version_;
+        const auto age = order_follows ? 0 : whole_milliseconds(now - logged_vm.last_requested);
+        logged_vm.aged = age > 0;
+        ages[vm] = age;
+    }
+    return ages.dump();
 }
 
 void vm_order_log::on_durable(std::int64_t version)
--- a/src/jobs/vm_order_log.h
+++ b/src/jobs/vm_order_log.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 
 #include "jobs/ports.h"
@@ -12,9 +11,10 @@
 
 namespace jl::jobs {
 
-// Records in the store, ahead of each order, the VM that the leader sends it to. A new leader thus
-// knows which VMs may still have orders of the previous leader in progress. It waits with orders to
-// those and can send orders to all others at once.
+// Records in the store, ahead of each order, the VM that the leader sends it to, and how long ago
+// the last order to each VM was sent. A new leader thus knows which VMs may still have orders of
+// the previous leader in progress. It waits with orders to those and can send orders to all others
+// at once.
 //
 //   if (log.may_order("vm-7")) { vms.move("vm-7", ...); } // else: call may_order() again later
 //
@@ -31,28 +31,37 @@
 
     // Loads the record of the previous leader.
     void load(const store_item& item);
-    // True if an order to the VM may be sent now. The first call after the previous leader's orders
-    // to the VM are over adds the VM to the record.
+    // True if an order to the VM may be sent now: the stored record then names the VM as ordered
+    // just now. Otherwise, once the previous leader's orders to the VM are over, the call updates
+    // the record.
     bool may_order(const std::string& vm);
+    // True while the VM may have orders of the previous leader in progress, so that may_order()
+    // refuses it. Such a VM is of most use where it is.
+    bool held_by_previous_leader(const std::string& vm) const;
 
     std::int64_t version() const { return version_; }
-    std::string encode() const;
+    // Returns the record to be stored now.
+    std::string encode();
     void on_durable(std::int64_t version);
 
 private:
     struct logged_vm {
         net::boot_time last_requested{};
-        std::int64_t version = 0; // first version of the record with the VM
+        std::int64_t version = 0; // first version of the record with the last request
+        bool aged = false;        // a later version states an age, so the next order needs another
     };
     void remove_expired();
+    // When the previous leader's orders are over that it sent right before its end.
+    net::boot_time last_hold_end() const;
 
     net::timer_service& timers_;
     milliseconds interval_;
     std::function<void()> changed_;
     std::function<void()> ready_;
     net::boot_time created_at_;
-    std::set<std::string> previous_leader_vms_; // VMs that may have orders of the previous leader
-    bool previous_record_unreadable_ = false;   // so any VM may have such orders
+    // Until when a VM may have orders of the previous leader in progress.
+    std::map<std::string, net::boot_time> held_until_;
+    bool previous_record_unreadable_ = false; // so any VM may have such orders
     std::map<std::string, logged_vm> logged_vms_;
     std::int64_t version_ = 0;
     std::int64_t durable_version_ = 0;
