Wait for answers as long as the measured round trips tell, and find lost answers out by the next write

Load pattern: one order to a worker in five, or three writes to the store in ten, are done and not answered.

Cause: an order waited 700 ms for its answer, a hold 700 ms beyond its own wait and then 250 ms more, and two connections carry all orders of a worker, so the others queued behind the silent one. A record whose write was executed without an answer was written once more after the refusal that showed it, and that write was lost again.

The first hold after an unanswered one follows at once. A start is given up after 2 s instead of three attempts. A refused repetition of a write counts as its answer if the store holds just its content.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -287,8 +287,7 @@
         const auto& pool = pools[index];
         const int difference = pool.vms - sizes[index];
         const int recent_size = largest_recent_size(pool.pool, sizes[index]);
-        const int sustained_surplus =
-            sizes_observed_long_enough ? pool.vms - recent_size : 0;
+        const int sustained_surplus = sizes_observed_long_enough ? pool.vms - recent_size : 0;
         if (pool.standby) {
             standby = pool.pool;
             surplus.insert(surplus.begin(), {pool.pool, pool.vms, 0});
--- a/src/jobs/record_writer.cpp
+++ b/src/jobs/record_writer.cpp
@@ -104,9 +104,9 @@
             transaction.removals.push_back(key);
         }
         else {
-            transaction.writes.push_back({key, std::move(content->value), 0});
+            transaction.writes.push_back({key, content->value, 0});
         }
-        batch.push_back({key, content->version, content->removed});
+        batch.push_back({key, std::move(content->value), content->version, content->removed});
         keys_in_flight_.insert(key);
     }
     if (batch.empty()) {
@@ -136,11 +136,17 @@
                 log_level::warning, "store.write_failed",
                 {{"reason", to_string(result.error)}, {"records", std::to_string(batch.size())}});
         }
+        const bool may_be_executed = result.error == store_error::outcome_unknown;
         for (const auto& record : batch) {
             dirty_keys_.insert(record.key);
+            if (may_be_executed) {
+                unconfirmed_[record.key] = record;
+            }
         }
-        schedule(std::min<std::chrono::nanoseconds>(retry_delay * consecutive_failures_,
-                                                    max_retry_delay));
+        // The wait for the answer was delay enough.
+        schedule(may_be_executed ? std::chrono::nanoseconds(batch_interval)
+                                 : std::min<std::chrono::nanoseconds>(
+                                       retry_delay * consecutive_failures_, max_retry_delay));
         return;
     }
     if (consecutive_failures_ > 0) {
@@ -150,16 +156,14 @@
     }
     const auto alive = alive_;
     if (!result.value->committed) {
-        for (const auto& record : batch) {
-            dirty_keys_.insert(record.key);
-        }
-        update_revisions(batch, result.value->current);
+        on_conditions_unmet(batch, result.value->current);
         if (*alive) {
             schedule(0ms);
         }
         return;
     }
     for (const auto& record : batch) {
+        unconfirmed_.erase(record.key);
         if (record.removed) {
             revisions_.erase(record.key);
         }
@@ -177,29 +181,53 @@
     }
 }
 
-// Called when a condition of a transaction failed. Either there is a new leader, or an earlier
-// write of this process that got no answer was executed after all; its revisions are taken over
-// then.
-void record_writer::update_revisions(const std::vector<written_record>& batch,
-                                     const std::vector<store_item>& current)
+// Either there is a new leader, or an earlier write of this process that got no answer was executed
+// after all.
+void record_writer::on_conditions_unmet(const std::vector<written_record>& batch,
+                                        const std::vector<store_item>& current)
 {
-    std::map<std::string, std::int64_t> found; // keys that do not exist may be left out
+    std::map<std::string, const store_item*> found; // keys that do not exist may be left out
     for (const auto& item : current) {
-        found[item.key] = item.revision;
+        found[item.key] = &item;
     }
-    if (found[leader_condition_.key] != leader_condition_.revision) {
+    const auto* const leader = found[leader_condition_.key];
+    if (leader == nullptr || leader->revision != leader_condition_.revision) {
         callbacks_.fenced();
         return;
     }
     for (const auto& record : batch) {
-        const auto revision = found[record.key];
-        if (revision == 0) {
-            revisions_.erase(record.key);
-        }
-        else {
-            revisions_[record.key] = revision;
+        if (!adopt_current(record, found[record.key])) {
+            return;
         }
     }
+    callbacks_.batch_done();
+}
+
+// If the store holds just what an unanswered write contained, that version is durable. A later one
+// is still to be written.
+bool record_writer::adopt_current(const written_record& refused, const store_item* current)
+{
+    const auto& key = refused.key;
+    if (current == nullptr || current->revision == 0) {
+        revisions_.erase(key);
+        dirty_keys_.insert(key);
+        return true;
+    }
+    revisions_[key] = current->revision;
+    const auto found = unconfirmed_.find(key);
+    if (found == unconfirmed_.end() || found->second.removed ||
+        found->second.value != current->value) {
+        dirty_keys_.insert(key);
+        return true;
+    }
+    const auto version = found->second.version;
+    unconfirmed_.erase(found);
+    if (version != refused.version) {
+        dirty_keys_.insert(key);
+    }
+    const auto alive = alive_;
+    callbacks_.durable(key, version);
+    return *alive;
 }
 
 } // namespace jl::jobs
--- a/src/jobs/record_writer.h
+++ b/src/jobs/record_writer.h
@@ -59,6 +59,7 @@
 private:
     struct written_record {
         std::string key;
+        std::string value;
         std::int64_t version = 0;
         bool removed = false;
     };
@@ -68,8 +69,12 @@
     void send_batch();
     void on_commit_result(const std::vector<written_record>& batch,
                           const store_result<commit_outcome>& result);
-    void update_revisions(const std::vector<written_record>& batch,
-                          const std::vector<store_item>& current);
+    // A condition of a transaction failed; `current` are the items that its conditions name.
+    void on_conditions_unmet(const std::vector<written_record>& batch,
+                             const std::vector<store_item>& current);
+    // Takes over the present state of a record whose write was refused. Returns false if this
+    // object was destroyed.
+    bool adopt_current(const written_record& refused, const store_item* current);
 
     net::timer_service& timers_;
     store_port& store_;
@@ -78,6 +83,8 @@
     std::set<std::string> dirty_keys_;
     std::set<std::string> keys_in_flight_;
     std::map<std::string, std::int64_t> revisions_; // by key; absent: the key does not exist
+    // The last write of a record that got no answer, by key.
+    std::map<std::string, written_record> unconfirmed_;
     int transactions_in_flight_ = 0;
     net::boot_clock::duration last_commit_latency_{};
     int consecutive_failures_ = 0;
--- /dev/null
+++ b/src/jobs/record_writer_test.cpp
@@ -0,0 +1,144 @@
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "jobs/record_writer.h"
+#include "jobs/testing/virtual_timers.h"
+
+namespace jl::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::virtual_timers;
+
+constexpr const char* leader_key = "leader";
+constexpr const char* record_key = "record";
+constexpr std::int64_t leader_revision = 7;
+
+// A store with one record. The test decides which commits are answered.
+class lossy_store final : public store_port {
+public:
+    void commit(const store_transaction& transaction, callback<commit_outcome> done) override
+    {
+        ++commits;
+        store_result<commit_outcome> result;
+        result.value.emplace();
+        result.value->committed = execute(transaction);
+        if (result.value->committed) {
+            result.value->revision = item.revision;
+            if (lose_answers > 0) {
+                --lose_answers;
+                result.value.reset();
+                result.error = store_error::outcome_unknown;
+            }
+        }
+        else {
+            result.value->current = {{leader_key, "", leader_revision}, item};
+        }
+        done(result);
+    }
+    void get(const std::string&, callback<store_item>) override {}
+    void list(const std::string&, callback<store_listing>) override {}
+    void watch(const std::string&, std::int64_t, milliseconds, callback<store_listing>) override {}
+    void grant_lease(milliseconds, callback<store_lease>) override {}
+    void renew_lease(std::int64_t, callback<milliseconds>) override {}
+    void end_lease(std::int64_t, std::function<void()>) override {}
+
+    int commits = 0;
+    int lose_answers = 0; // of the next commits, which are executed
+    store_item item{record_key, "", 0};
+
+private:
+    bool execute(const store_transaction& transaction)
+    {
+        for (const auto& condition : transaction.conditions) {
+            if (condition.key == record_key && condition.revision != item.revision) {
+                return false;
+            }
+        }
+        item.value = transaction.writes.front().value;
+        ++item.revision;
+        return true;
+    }
+};
+
+class record_writer_test : public ::testing::Test {
+protected:
+    record_writer_test()
+    {
+        record_writer::callbacks callbacks;
+        callbacks.encode = [this](const std::string&) {
+            return record_writer::record{"content " + std::to_string(version), version, false};
+        };
+        callbacks.durable = [this](const std::string&, std::int64_t stored) {
+            durable_version = stored;
+        };
+        callbacks.batch_done = [] {};
+        callbacks.write_failed = [](store_error) {};
+        callbacks.fenced = [this] { fenced = true; };
+        writer.emplace(timers, store, store_condition{leader_key, leader_revision},
+                       std::move(callbacks));
+    }
+
+    void write_version(std::int64_t next)
+    {
+        version = next;
+        writer->mark_dirty(record_key);
+    }
+
+    virtual_timers timers;
+    lossy_store store;
+    std::int64_t version = 0;
+    std::int64_t durable_version = 0;
+    bool fenced = false;
+    std::optional<record_writer> writer;
+};
+
+// Load pattern: three writes in ten are done and not answered. Guards against a record that is
+// written anew after the refusal that shows it to be stored: that write may be lost again, and the
+// caller waits.
+TEST_F(record_writer_test, refused_repetition_shows_that_the_write_was_executed)
+{
+    store.lose_answers = 1;
+    write_version(1);
+    timers.run_for(100ms);
+    EXPECT_EQ(durable_version, 1);
+    EXPECT_EQ(store.commits, 2);
+    EXPECT_TRUE(writer->all_written());
+    EXPECT_FALSE(writer->writes_failing());
+    EXPECT_FALSE(fenced);
+}
+
+// Guards against taking a later version for stored because an earlier one is.
+TEST_F(record_writer_test, version_after_an_unanswered_write_is_written)
+{
+    store.lose_answers = 1;
+    write_version(1);
+    timers.run_for(1ms);
+    write_version(2);
+    timers.run_for(100ms);
+    EXPECT_EQ(durable_version, 2);
+    EXPECT_EQ(store.item.value, "content 2");
+    EXPECT_EQ(store.commits, 3);
+    EXPECT_TRUE(writer->all_written());
+}
+
+// Guards against a foreign change of the record that is taken for the unanswered write.
+TEST_F(record_writer_test, other_content_in_the_store_is_replaced)
+{
+    store.lose_answers = 1;
+    write_version(1);
+    timers.run_for(1ms);
+    store.item.value = "other content";
+    ++store.item.revision;
+    timers.run_for(100ms);
+    EXPECT_EQ(durable_version, 1);
+    EXPECT_EQ(store.item.value, "content 1");
+}
+
+} // namespace
+} // namespace jl::jobs
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -12,10 +12,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto order_timeout = 700ms;
-constexpr auto order_retry_delay = 60ms;
-constexpr auto stop_retry_delay = 250ms;
-constexpr int max_start_attempts = 3;
+constexpr auto order_retry_delay = 20ms;
+constexpr auto stop_retry_delay = 60ms;
+// A start is given up after this time without an answer.
+constexpr auto start_give_up_time = 2000ms;
 constexpr auto unhealthy_worker_backoff = 500ms;
 constexpr auto full_worker_backoff = 120ms;
 constexpr auto rejected_task_backoff = 1000ms;
@@ -250,10 +250,9 @@
     order.payload = target->owner->spec.payload;
     order.checkpoint = target->checkpoint;
     order.ticket = target->ticket;
-    handle->session->start(std::move(order), order_timeout,
-                           [this, name, run, worker](const order_result& result) {
-                               on_started(name, run, worker, result);
-                           });
+    handle->session->start(std::move(order), [this, name, run, worker](const order_result& result) {
+        on_started(name, run, worker, result);
+    });
 }
 
 void task_runner::on_started(const task_name& name, std::int64_t run, const std::string& worker,
@@ -325,7 +324,7 @@
 
 void task_runner::retry_start(task& target)
 {
-    if (target.order_attempts >= max_start_attempts) {
+    if (timers_.now() >= target.changed_at + start_give_up_time) {
         stop(target, "no attempt to start it was answered");
         return;
     }
@@ -365,36 +364,35 @@
     stop_order order;
     order.task = name;
     order.run = run;
-    handle->session->stop(
-        order, order_timeout, [this, name, run, worker](const order_result& result) {
-            if (result.status == order_status::fenced) {
-                listener_.fenced(worker);
-                return;
-            }
-            task* const stopped = find_current_run(name, run, worker);
-            if (stopped == nullptr) {
+    handle->session->stop(order, [this, name, run, worker](const order_result& result) {
+        if (result.status == order_status::fenced) {
+            listener_.fenced(worker);
+            return;
+        }
+        task* const stopped = find_current_run(name, run, worker);
+        if (stopped == nullptr) {
+            return;
+        }
+        const bool settled = result.status == order_status::accepted ||
+                             result.status == order_status::superseded ||
+                             result.status == order_status::rejected;
+        if (settled) {
+            stopped->order_confirmed_at = timers_.now();
+        }
+        const auto delay =
+            settled ? settings_.stop_time + stop_margin : milliseconds(stop_retry_delay);
+        timers_.call_after(delay, [this, alive = alive_, settled, name, run, worker] {
+            if (!*alive || find_current_run(name, run, worker) == nullptr) {
                 return;
             }
-            const bool settled = result.status == order_status::accepted ||
-                                 result.status == order_status::superseded ||
-                                 result.status == order_status::rejected;
             if (settled) {
-                stopped->order_confirmed_at = timers_.now();
+                find_worker(worker)->session->request_report();
+            }
+            else {
+                send_stop(name, run, worker);
             }
-            const auto delay =
-                settled ? settings_.stop_time + stop_margin : milliseconds(stop_retry_delay);
-            timers_.call_after(delay, [this, alive = alive_, settled, name, run, worker] {
-                if (!*alive || find_current_run(name, run, worker) == nullptr) {
-                    return;
-                }
-                if (settled) {
-                    find_worker(worker)->session->request_report();
-                }
-                else {
-                    send_stop(name, run, worker);
-                }
-            });
         });
+    });
 }
 
 // Stops a run that is not the current run of its task.
@@ -406,7 +404,7 @@
     stop_order order;
     order.task = name;
     order.run = run;
-    handle.session->stop(order, order_timeout, [](const order_result&) {});
+    handle.session->stop(order, [](const order_result&) {});
 }
 
 void task_runner::set_pace(task& target, int percent)
@@ -425,14 +423,13 @@
     order.task = target.name();
     order.run = target.run;
     order.percent = percent;
-    handle->session->pace(order, order_timeout,
-                          [this, previous_percent, name = target.name(), run = target.run,
-                           worker = target.worker](const order_result& result) {
-                              task* const paced = find_current_run(name, run, worker);
-                              if (paced != nullptr && result.status != order_status::accepted) {
-                                  paced->pace = previous_percent; // the next report decides again
-                              }
-                          });
+    handle->session->pace(order, [this, previous_percent, name = target.name(), run = target.run,
+                                  worker = target.worker](const order_result& result) {
+        task* const paced = find_current_run(name, run, worker);
+        if (paced != nullptr && result.status != order_status::accepted) {
+            paced->pace = previous_percent; // the next report decides again
+        }
+    });
 }
 
 void task_runner::detach(task& target)
--- a/src/jobs/vm_order_log_test.cpp
+++ b/src/jobs/vm_order_log_test.cpp
@@ -1,11 +1,10 @@
-#include "jobs/vm_order_log.h"
-
 #include <optional>
 #include <string>
 
 #include <gtest/gtest.h>
 
 #include "jobs/testing/virtual_timers.h"
+#include "jobs/vm_order_log.h"
 
 namespace jl::jobs {
 namespace {
@@ -21,7 +20,8 @@
 class logged_leader {
 public:
     logged_leader(virtual_timers& timers, const std::optional<std::string>& previous_record)
-        : log_(timers, order_interval, [this] { ++writes_requested_; }, [] {})
+        : log_(
+              timers, order_interval, [this] { ++writes_requested_; }, [] {})
     {
         if (previous_record) {
             store_item item;
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -25,8 +25,7 @@
 wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                            store_port& store, const document_codec& documents, task_runner& runner,
                            vm_reservations& reservations, const vm_order_log& orders,
-                           leader_record leader,
-                           std::function<bool(const std::string&)> may_order,
+                           leader_record leader, std::function<bool(const std::string&)> may_order,
                            std::function<bool()> may_act,
                            std::function<bool(const task&)> may_relocate)
     : timers_(timers),
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -14,7 +14,11 @@
 // Longest time for which the worker may delay its answer to a hold until a task ends. It bounds the
 // time between two renewals of the lease.
 constexpr auto hold_wait = 1000ms;
-constexpr auto hold_timeout = 700ms; // beyond the wait of the hold
+// Limits of the wait for an answer, for holds beyond their own wait.
+constexpr decisions::retransmission_timer::limits answer_wait{700ms, 100ms, 700ms};
+// Delay of the hold after one without an answer. The first repetition follows at once, because a
+// single lost answer is no sign that the worker is gone.
+constexpr auto first_retry_delay = 10ms;
 constexpr auto retry_delay = 250ms;
 // Delay of the hold after a reported end, so that one report collects ends in quick succession.
 constexpr auto hold_interval = 25ms;
@@ -41,6 +45,7 @@
       info_(std::move(info)),
       token_(token),
       settings_(std::move(settings)),
+      answer_timer_(answer_wait),
       born_(info_.started_at_ms),
       lease_bound_(timers.now() + on_local_clock(settings_.previous_leader_lease) + expiry_margin)
 {
@@ -130,11 +135,15 @@
     report_requested_ = false;
     last_hold_sent_at_ = timers_.now();
     const auto requested_at = last_hold_sent_at_;
-    port_->hold(order, order.wait + hold_timeout,
-                [this, requested_at, alive = alive_](const hold_report& report) {
-                    if (*alive) {
-                        on_hold(report, requested_at);
+    port_->hold(order, order.wait + answer_timer_.timeout(),
+                [this, requested_at, answer_at_once, alive = alive_](const hold_report& report) {
+                    if (!*alive) {
+                        return;
+                    }
+                    if (answer_at_once) {
+                        record_round_trip(report.result, requested_at);
                     }
+                    on_hold(report, requested_at);
                 });
 }
 
@@ -156,7 +165,7 @@
         return;
     default:
         record_failure(to_string(report.result.status));
-        schedule_hold(retry_delay);
+        schedule_hold(failed_holds_ == 1 ? first_retry_delay : retry_delay);
         return;
     }
     if (failed_holds_ > 0) {
@@ -261,10 +270,12 @@
 std::function<void(const order_result&)>
 worker_session::with_result_recorded(std::function<void(const order_result&)> done)
 {
-    return [this, alive = alive_, done = std::move(done)](const order_result& result) {
+    return [this, alive = alive_, sent_at = timers_.now(),
+            done = std::move(done)](const order_result& result) {
         if (!*alive) {
             return;
         }
+        record_round_trip(result, sent_at);
         record_result(result);
         if (*alive) {
             done(result);
@@ -272,6 +283,18 @@
     };
 }
 
+void worker_session::record_round_trip(const order_result& result, net::boot_time sent_at)
+{
+    const auto sent = sent_at.time_since_epoch();
+    const auto now = timers_.now().time_since_epoch();
+    if (result.status == order_status::unanswered) {
+        answer_timer_.add_unanswered(sent, now);
+    }
+    else if (result.status != order_status::not_sent) {
+        answer_timer_.add_round_trip(sent, now);
+    }
+}
+
 void worker_session::report_not_sent(std::function<void(const order_result&)> done)
 {
     order_result refused;
@@ -283,8 +306,7 @@
     });
 }
 
-void worker_session::start(start_order order, milliseconds timeout,
-                           std::function<void(const order_result&)> done)
+void worker_session::start(start_order order, std::function<void(const order_result&)> done)
 {
     const auto until = settings_.may_act() ? extend_lease() : std::nullopt;
     if (!until || dead_) {
@@ -293,32 +315,30 @@
     }
     order.lease_until = *until;
     order.fencing_token = token_;
-    port_->start(order, timeout, with_result_recorded(std::move(done)));
+    port_->start(order, answer_timer_.timeout(), with_result_recorded(std::move(done)));
     if (!hold_in_flight_ && hold_timer_ == 0) {
         schedule_hold(hold_interval);
     }
 }
 
-void worker_session::stop(stop_order order, milliseconds timeout,
-                          std::function<void(const order_result&)> done)
+void worker_session::stop(stop_order order, std::function<void(const order_result&)> done)
 {
     if (!settings_.may_act()) {
         report_not_sent(std::move(done));
         return;
     }
     order.fencing_token = token_;
-    port_->stop(order, timeout, with_result_recorded(std::move(done)));
+    port_->stop(order, answer_timer_.timeout(), with_result_recorded(std::move(done)));
 }
 
-void worker_session::pace(pace_order order, milliseconds timeout,
-                          std::function<void(const order_result&)> done)
+void worker_session::pace(pace_order order, std::function<void(const order_result&)> done)
 {
     if (!settings_.may_act()) {
         report_not_sent(std::move(done));
         return;
     }
     order.fencing_token = token_;
-    port_->pace(order, timeout,
+    port_->pace(order, answer_timer_.timeout(),
                 [alive = alive_, done = std::move(done)](const order_result& result) {
                     if (*alive) {
                         done(result);
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "decisions/retransmission_timer.h"
 #include "jobs/ports.h"
 #include "net/timer_service.h"
 
@@ -67,12 +68,10 @@
     // Requests a report without a wait. Sent once the hold in flight, if any, has been answered.
     void request_report();
 
-    void start(start_order order, milliseconds timeout,
-               std::function<void(const order_result&)> done);
-    void stop(stop_order order, milliseconds timeout,
-              std::function<void(const order_result&)> done);
-    void pace(pace_order order, milliseconds timeout,
-              std::function<void(const order_result&)> done);
+    // Send an order. The wait for the answer follows the worker's measured round trips.
+    void start(start_order order, std::function<void(const order_result&)> done);
+    void stop(stop_order order, std::function<void(const order_result&)> done);
+    void pace(pace_order order, std::function<void(const order_result&)> done);
 
     // True once the worker has answered this leader, after which it refuses orders of previous
     // ones.
@@ -107,6 +106,8 @@
     void record_result(const order_result& result);
     std::function<void(const order_result&)>
     with_result_recorded(std::function<void(const order_result&)> done);
+    // Adds the outcome of a call that the worker answers at once.
+    void record_round_trip(const order_result& result, net::boot_time sent_at);
     void record_failure(const char* reason);
     void check_lease_expiry();
     // Extends `lease_bound_` by the next lease and returns that lease's end on the worker's clock.
@@ -123,6 +124,7 @@
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
+    decisions::retransmission_timer answer_timer_;
     std::int64_t born_ = 0;
     std::optional<milliseconds> worker_clock_; // the worker's clock at `worker_clock_read_at_`
     net::boot_time worker_clock_read_at_{};
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -119,15 +119,15 @@
     std::optional<order_status> outcome;
     const auto record_outcome = [&outcome](const order_result& result) { outcome = result.status; };
 
-    session->start({}, 700ms, record_outcome);
+    session->start({}, record_outcome);
     timers.run_for(20ms);
     EXPECT_EQ(outcome, order_status::not_sent);
     outcome.reset();
-    session->stop({}, 700ms, record_outcome);
+    session->stop({}, record_outcome);
     timers.run_for(20ms);
     EXPECT_EQ(outcome, order_status::not_sent);
     outcome.reset();
-    session->pace({}, 700ms, record_outcome);
+    session->pace({}, record_outcome);
     timers.run_for(3s); // three intervals between renewals of the lease
     EXPECT_EQ(outcome, order_status::not_sent);
 
@@ -145,7 +145,7 @@
     leading = true;
     timers.run_for(1s);
     EXPECT_GT(received.holds, before.holds);
-    session->start({}, 700ms, [](const order_result&) {});
+    session->start({}, [](const order_result&) {});
     EXPECT_EQ(received.starts, 1);
 }
 
--- a/src/net/async_client.cpp
+++ b/src/net/async_client.cpp
@@ -125,6 +125,7 @@
         message_buffer input;
         std::size_t bytes_written = 0;
         pending_exchange_ptr call; // null while the connection is idle
+        boot_time call_began{};
         bool connected = false;
         bool any_byte_sent = false;
         bool closed = false;
@@ -136,7 +137,8 @@
     {
         while (!queued_calls_.empty() && !closing_) {
             auto conn = idle_connection();
-            if (!conn && connections_.size() >= limits_.max_connections) {
+            if (!conn && connections_.size() >= limits_.max_connections + silent_connections()) {
+                schedule_silence_check();
                 return;
             }
             auto call = queued_calls_.front();
@@ -150,6 +152,7 @@
                 continue;
             }
             conn->call = call;
+            conn->call_began = boot_clock::now();
             conn->bytes_written = 0;
             conn->any_byte_sent = false;
             if (conn->connected) {
@@ -168,6 +171,34 @@
         return nullptr;
     }
 
+    std::size_t silent_connections() const
+    {
+        if (!limits_.silent_after) {
+            return 0;
+        }
+        const auto silent_since = boot_clock::now() - *limits_.silent_after;
+        const auto silent =
+            std::count_if(connections_.begin(), connections_.end(), [&](const auto& conn) {
+                return conn->call && conn->call_began <= silent_since;
+            });
+        return std::min(static_cast<std::size_t>(silent), limits_.max_silent_connections);
+    }
+
+    // Exchanges wait: looks for connections that have turned silent once that can be the case.
+    void schedule_silence_check()
+    {
+        if (!limits_.silent_after || silence_check_scheduled_) {
+            return;
+        }
+        silence_check_scheduled_ = true;
+        loop_.call_after(*limits_.silent_after, [weak_self = weak_from_this()] {
+            if (const auto client = weak_self.lock()) {
+                client->silence_check_scheduled_ = false;
+                client->start_queued_calls();
+            }
+        });
+    }
+
     connection_ptr connect()
     {
         auto conn = std::make_shared<connection>(limits_.max_answer_bytes);
@@ -394,6 +425,7 @@
     std::list<pending_exchange_ptr> queued_calls_;
     std::list<connection_ptr> connections_;
     bool closing_ = false;
+    bool silence_check_scheduled_ = false;
 };
 
 async_client::async_client(event_loop& loop, endpoint server, async_client_limits limits)
--- a/src/net/async_client.h
+++ b/src/net/async_client.h
@@ -15,6 +15,11 @@
 
 struct async_client_limits {
     std::size_t max_connections = 4;
+    // While exchanges wait, a connection that has not answered for `silent_after` does not count,
+    // so that others are opened, up to `max_silent_connections` of them. Without a value, all
+    // count.
+    std::optional<std::chrono::milliseconds> silent_after;
+    std::size_t max_silent_connections = 0;
     std::size_t max_answer_bytes = 8U << 20U;
     std::chrono::milliseconds connect_timeout{1000};
 };
