Start jobs on time by their objective, and count the progress of running tasks

Load pattern: a peak needs several times the capacity of its pool; small jobs with time to spare arrive all the while.

Changes, measured one by one: among jobs on time, those with the earliest objective come first instead of the smallest (late jobs stay smallest first). The time that a job still needs is reduced by the progress of its running tasks; it was taken for late, and so put behind, while a step was nearly done.

--- a/src/decisions/job_decisions_test.cpp
+++ b/src/decisions/job_decisions_test.cpp
@@ -54,6 +54,19 @@
               (std::vector<std::size_t>{2, 1, 0}));
 }
 
+// Guards against a large job that loses its objective to a stream of small ones with more time.
+TEST(job_order, earliest_objective_comes_first_among_jobs_on_time)
+{
+    EXPECT_EQ(order_jobs({make_job(0, 4s, 1s, 2), make_job(1, 3s, 2s, 60)}),
+              (std::vector<std::size_t>{1, 0}));
+}
+
+TEST(job_order, small_jobs_come_first_among_late_jobs)
+{
+    EXPECT_EQ(order_jobs({make_job(0, -2s, 1s, 60), make_job(1, -1s, 1s, 2)}),
+              (std::vector<std::size_t>{1, 0}));
+}
+
 candidate_worker make_candidate(const char* name, std::int64_t free_millicores)
 {
     candidate_worker candidate;
--- a/src/decisions/job_order.cpp
+++ b/src/decisions/job_order.cpp
@@ -30,7 +30,10 @@
     std::iota(order.begin(), order.end(), std::size_t{0});
     const auto key = [&](std::size_t index) {
         const auto& job = jobs[index];
-        return std::make_tuple(classify(job), job.priority, !job.started, job.core_seconds);
+        const auto urgency = classify(job);
+        const auto time_left =
+            urgency == urgency_class::on_time ? job.time_left : std::chrono::milliseconds(0);
+        return std::make_tuple(urgency, job.priority, !job.started, time_left, job.core_seconds);
     };
     std::stable_sort(order.begin(), order.end(),
                      [&](std::size_t left, std::size_t right) { return key(left) < key(right); });
--- a/src/decisions/job_order.h
+++ b/src/decisions/job_order.h
@@ -24,7 +24,9 @@
 // nothing. Long-running jobs come first. Then come jobs that can still meet their objective, then
 // those that can only complete late, and last those that earn no credit, which run once the load is
 // low. Among jobs of one class and priority, started jobs come first, because a job earns credit
-// only when it completes, and then small jobs, because more of them complete in the same time.
+// only when it completes. Then come, of the jobs on time, those with the earliest objective, so
+// that large ones do not lose theirs to a stream of small ones, and of the others the small ones,
+// because more of them complete in the same time.
 std::vector<std::size_t> order_jobs(const std::vector<job_demand>& jobs);
 
 } // namespace jl::decisions
--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -198,7 +198,7 @@
         }
         const bool long_running = target->spec.steps.front().long_running;
         const bool late =
-            !long_running && remaining_critical_path(*target) > target->objective - now;
+            !long_running && remaining_critical_path(*target, now) > target->objective - now;
         for (const auto& occurrence : target->occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& progress = occurrence.steps[step];
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -17,6 +17,7 @@
 
 // A job earns partial credit if it completes within this multiple of its objective.
 constexpr int late_credit_objectives = 3;
+constexpr int full_percent = 100;
 
 decisions::task_demand demand_of(const task& target)
 {
@@ -73,6 +74,30 @@
            now >= handle.unhealthy_until && now >= handle.no_room_until;
 }
 
+// Returns the estimated time until the task has ended if it runs now or starts now.
+milliseconds remaining_duration(const task& target, net::boot_time now)
+{
+    const auto estimate = target.spec().estimate;
+    if (target.phase == task_phase::done) {
+        return 0ms;
+    }
+    if (target.phase != task_phase::running) {
+        return estimate;
+    }
+    const auto reported = estimate * (full_percent - target.percent) / full_percent;
+    const auto since_report = std::chrono::duration_cast<milliseconds>(now - target.changed_at);
+    return std::max(milliseconds(0), reported - since_report);
+}
+
+milliseconds remaining_step_duration(const step_progress& step, net::boot_time now)
+{
+    milliseconds longest{0};
+    for (const auto& task : step.tasks) {
+        longest = std::max(longest, remaining_duration(task, now));
+    }
+    return longest;
+}
+
 bool is_waiting(const task& target, net::boot_time now)
 {
     return target.phase == task_phase::waiting && target.not_before <= now;
@@ -117,14 +142,18 @@
     return total;
 }
 
-milliseconds remaining_critical_path(const job& target)
+milliseconds remaining_critical_path(const job& target, net::boot_time now)
 {
     milliseconds longest{0};
     for (const auto& occurrence : target.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!occurrence.steps[step].complete()) {
-                longest = std::max(longest, critical_path_from(target.spec, step));
+            const auto& progress = occurrence.steps[step];
+            if (progress.complete()) {
+                continue;
             }
+            const auto later_steps =
+                critical_path_from(target.spec, step) - target.spec.steps[step].estimate;
+            longest = std::max(longest, later_steps + remaining_step_duration(progress, now));
         }
     }
     return longest;
@@ -251,7 +280,7 @@
         demand.started = target.any_started;
         demand.time_left = std::chrono::duration_cast<milliseconds>(target.objective - pool.now);
         demand.late_time_left = demand.time_left + (late_credit_objectives - 1) * objective;
-        demand.critical_path = remaining_critical_path(target);
+        demand.critical_path = remaining_critical_path(target, pool.now);
         demand.core_seconds = remaining_core_seconds(target);
         demands.push_back(demand);
     }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -52,7 +52,8 @@
 
 // Returns the estimated work left in the job, in core-seconds.
 double remaining_core_seconds(const job& target);
-// Returns the estimated duration of the longest chain of dependent steps left in the job.
-milliseconds remaining_critical_path(const job& target);
+// Returns the estimated duration of the longest chain of dependent steps left in the job, less the
+// progress of the tasks that run.
+milliseconds remaining_critical_path(const job& target, net::boot_time now);
 
 } // namespace jl::jobs
