Count a long job in the demand forecast with the work that VMs ordered for it could do

Load pattern: a single large job arrives at an idle pool.

Cause: its whole work counted as arriving each second, so a job of 28 VM-seconds that occupies 3.5 VMs for 8 s moved 22 VMs into its pool. Now it counts with what it does until VMs that are ordered for it could leave again.

--- a/src/decisions/arrival_forecast.cpp
+++ b/src/decisions/arrival_forecast.cpp
@@ -18,18 +18,26 @@
     return std::chrono::duration<double>(span).count();
 }
 
+double vm_seconds_within(const arrival_forecast::work& arrived, arrival_forecast::time span)
+{
+    return arrived.duration <= span
+               ? arrived.vm_seconds
+               : arrived.vm_seconds * to_seconds(span) / to_seconds(arrived.duration);
+}
+
 } // namespace
 
-void arrival_forecast::note_arrival(const std::string& pool, time now, double vm_seconds)
+void arrival_forecast::note_arrival(const std::string& pool, time now, const work& arrived)
 {
     auto& arrivals = recent_arrivals_[pool];
-    arrivals.push_back({now, vm_seconds});
+    arrivals.push_back({now, arrived});
     while (arrivals.front().at <= now - 2 * rate_window) {
         arrivals.pop_front();
     }
 }
 
-double arrival_forecast::forecast(const std::string& pool, time now, time lead_time) const
+double arrival_forecast::forecast(const std::string& pool, time now, time lead_time,
+                                  time horizon) const
 {
     const auto found = recent_arrivals_.find(pool);
     if (found == recent_arrivals_.end()) {
@@ -40,11 +48,11 @@
     int last_window_arrivals = 0;
     for (const auto& arrival : found->second) {
         if (arrival.at > now - rate_window) {
-            last_window += arrival.vm_seconds;
+            last_window += vm_seconds_within(arrival.arrived, horizon);
             ++last_window_arrivals;
         }
         else if (arrival.at > now - 2 * rate_window) {
-            previous_window += arrival.vm_seconds;
+            previous_window += vm_seconds_within(arrival.arrived, horizon);
         }
     }
     const double rate = last_window / to_seconds(rate_window);
--- a/src/decisions/job_decisions_test.cpp
+++ b/src/decisions/job_decisions_test.cpp
@@ -197,19 +197,29 @@
 {
     arrival_forecast demand;
     for (int number = 0; number < 4; ++number) {
-        demand.note_arrival("rounds", 1100ms + number * 200ms, 1.0);
+        demand.note_arrival("rounds", 1100ms + number * 200ms, {1.0, 400ms});
     }
-    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2000ms, 500ms), 6.0);
-    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2000ms, 5s), 8.0); // never more than twice the rate
-    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 9s, 1500ms), 0.0);
-    EXPECT_DOUBLE_EQ(demand.forecast("crews", 2s, 1500ms), 0.0);
+    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2000ms, 500ms, 2s), 6.0);
+    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2000ms, 5s, 2s),
+                     8.0); // never more than twice the rate
+    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 9s, 1500ms, 2s), 0.0);
+    EXPECT_DOUBLE_EQ(demand.forecast("crews", 2s, 1500ms, 2s), 0.0);
 }
 
 TEST(arrival_forecast, does_not_extrapolate_from_one_large_job)
 {
     arrival_forecast demand;
-    demand.note_arrival("rounds", 2s, 5.0);
-    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2s, 1500ms), 5.0);
+    demand.note_arrival("rounds", 2s, {5.0, 1s});
+    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2s, 1500ms, 2s), 5.0);
+}
+
+// Guards against a single long job that is taken for a stream of such jobs: one of 28 VM-seconds
+// that occupies 3.5 VMs for 8 s moved 22 VMs into its pool.
+TEST(arrival_forecast, long_job_counts_with_the_work_that_it_does_within_the_horizon)
+{
+    arrival_forecast demand;
+    demand.note_arrival("rounds", 2s, {28.0, 8s});
+    EXPECT_DOUBLE_EQ(demand.forecast("rounds", 2s, 1500ms, 2s), 7.0);
 }
 
 pool_state make_pool(const std::string& name, int vms, double load)
--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -75,7 +75,8 @@
             vm_seconds += step.count * share_of_vm(step.request, vm_capacity_) *
                           std::chrono::duration<double>(step.estimate).count();
         }
-        demand_.note_arrival(service, timers_.now().time_since_epoch(), vm_seconds);
+        demand_.note_arrival(service, timers_.now().time_since_epoch(),
+                             {vm_seconds, critical_path_duration(accepted.spec)});
     }
 }
 
@@ -175,7 +176,10 @@
             const auto* const handle = directory_.worker_on_vm(vm->vm);
             state.pinned_vms += handle != nullptr && runs_long_running_task(*handle) ? 1 : 0;
         }
-        state.expected_load = demand_.forecast(service.name, now, move_time_ + first_start_delay);
+        // A VM that arrives stays at least until its pool has had a surplus for a while.
+        const auto lead_time = move_time_ + first_start_delay;
+        state.expected_load =
+            demand_.forecast(service.name, now, lead_time, lead_time + surplus_delay);
         pools.push_back(std::move(state));
     }
     return pools;
