Tell refused callers to come back according to the length of the outage, spread

Load pattern: the store or the leader is away for seconds. Retry-After was one second whatever the outage, so callers used up their tries within it and came back in step.

Change: the process that talks to a caller knows for how long changes have been refused. Retry-After is that long, spread over as much again, from 1 to 30 s (decisions/retry_after).

--- a/src/jobs/request_router.cpp
+++ b/src/jobs/request_router.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "decisions/retry_after.h"
 
 namespace jl::jobs {
 
@@ -27,6 +28,7 @@
 constexpr auto answer_margin = 150ms;
 // A process that has failed to reach the leader for this long should get no new callers.
 constexpr auto failure_tolerance = 800ms;
+constexpr int service_unavailable = 503;
 
 } // namespace
 
@@ -72,7 +74,7 @@
 void request_router::answer_forwarded(const http::request& request, const net::responder& respond)
 {
     if (!hooks_.answer_locally(request, respond)) {
-        auto refusal = hooks_.make_refusal();
+        auto refusal = hooks_.make_refusal(0s); // for the router that forwarded the request
         refusal.headers[not_leader_header] = "1";
         respond(std::move(refusal));
     }
@@ -184,9 +186,26 @@
             passed.headers[name] = *value;
         }
     }
+    if (answer.status == service_unavailable) {
+        // This process has seen for how long callers have been refused.
+        passed.headers["Retry-After"] = std::to_string(retry_after().count());
+    }
+    else if (pending->request.method != "GET") {
+        refusing_since_.reset();
+    }
     finish(pending, std::move(passed));
 }
 
+std::chrono::seconds request_router::retry_after()
+{
+    const auto now = loop_.now();
+    if (!refusing_since_) {
+        refusing_since_ = now;
+    }
+    std::uniform_real_distribution<double> spread(0.0, 1.0);
+    return decisions::retry_after(now - *refusing_since_, spread(random_));
+}
+
 void request_router::finish(const pending_ptr& pending, http::response answer)
 {
     pending->finished = true;
@@ -216,8 +235,8 @@
               {{"method", pending->request.method},
                {"path", pending->request.target},
                {"maybe_carried_out", pending->maybe_carried_out ? "true" : "false"}});
-    finish(pending,
-           pending->maybe_carried_out ? hooks_.make_outcome_unknown() : hooks_.make_refusal());
+    finish(pending, pending->maybe_carried_out ? hooks_.make_outcome_unknown()
+                                               : hooks_.make_refusal(retry_after()));
 }
 
 } // namespace jl::jobs
--- a/src/jobs/request_router.h
+++ b/src/jobs/request_router.h
@@ -5,6 +5,8 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 
 #include "http/message.h"
@@ -29,8 +31,9 @@
         std::function<bool(const http::request&, const net::responder&)> answer_locally;
         // Time left in which the caller expects an answer.
         std::function<std::chrono::milliseconds(const http::request&)> deadline;
-        // Makes the answer to a request that was not carried out.
-        std::function<http::response()> make_refusal;
+        // Makes the answer to a request that was not carried out, and that may be repeated after
+        // the given time.
+        std::function<http::response(std::chrono::seconds retry_after)> make_refusal;
         // Makes the answer to a request that may have been carried out.
         std::function<http::response()> make_outcome_unknown;
         // True for an answer that make_outcome_unknown() made.
@@ -59,6 +62,8 @@
     struct pending_request;
     using pending_ptr = std::shared_ptr<pending_request>;
 
+    // Returns when a caller that is refused now should come back.
+    std::chrono::seconds retry_after();
     void attempt(const pending_ptr& pending);
     void forward(const pending_ptr& pending, const leader_record& leader);
     void on_answer(const pending_ptr& pending, const http::response& answer);
@@ -75,6 +80,9 @@
     std::list<pending_ptr> waiting_; // for the next attempt
     std::unique_ptr<net::async_client> client_;
     net::boot_time failing_since_{}; // default value: the last attempt succeeded
+    // When requests that change something began to be refused; nothing if the last one succeeded.
+    std::optional<net::boot_time> refusing_since_;
+    std::mt19937 random_{std::random_device{}()};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -96,17 +96,33 @@
         return json::parse(answer->body).value("state", "");
     }
 
-    int submit(int number, const std::string& id) const
+    std::optional<http::response> try_submit(int number, const std::string& id) const
     {
         const json step = {
             {"count", 3}, {"cpu", 2000}, {"memoryRequestMb", 1024}, {"estimatedMs", 300}};
         auto second = step;
         second["after"] = {0};
         const json job = {{"specification", "plan"}, {"steps", {step, second}}};
-        const auto answer = send(node_addresses.at(number)[0], "POST", "/plans/" + id, job.dump());
+        return send(node_addresses.at(number)[0], "POST", "/plans/" + id, job.dump());
+    }
+
+    int submit(int number, const std::string& id) const
+    {
+        const auto answer = try_submit(number, id);
         return answer ? answer->status : 0;
     }
 
+    // Returns the seconds after which a refused submission should be repeated; 0 if it is not
+    // refused.
+    int refused_for(int number, const std::string& id) const
+    {
+        const auto answer = try_submit(number, id);
+        const auto after = answer && answer->status == 503
+                               ? http::find_header(answer->headers, "Retry-After")
+                               : std::nullopt;
+        return after ? std::stoi(*after) : 0;
+    }
+
     // Number of the node that leads, by its metrics; -1 if none.
     int leader() const
     {
@@ -199,5 +215,17 @@
     EXPECT_TRUE(eventually([&] { return state(other, "00000000000000d1") == "completed"; }));
 }
 
+// Load pattern: the platform is away for seconds. Guards against telling all callers one second,
+// whatever the outage: they used up their tries before the service returned.
+TEST_F(node_fleet, refused_callers_are_asked_back_later_the_longer_the_outage_lasts)
+{
+    ASSERT_TRUE(eventually([&] { return submit(0, "00000000000000e1") == 200; }));
+    platform->pause();
+    EXPECT_TRUE(eventually([&] { return refused_for(1, "00000000000000e2") >= 4; }));
+    platform->resume();
+    EXPECT_TRUE(eventually([&] { return submit(1, "00000000000000e3") == 200; }));
+    EXPECT_TRUE(report()["violations"].empty()) << report()["violations"].dump();
+}
+
 } // namespace
 } // namespace jl::harness
