--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -46,14 +46,12 @@
 
 capacity_manager::capacity_manager(net::timer_service& timers, vm_port& vms,
                                    vm_directory& directory, vm_reservations& reservations,
-                                   const vm_order_log& orders, job_table& jobs, std::int64_t token,
-                                   milliseconds move_time,
+                                   job_table& jobs, std::int64_t token, milliseconds move_time,
                                    std::function<bool(const std::string&)> may_order)
     : timers_(timers),
       vm_port_(vms),
       directory_(directory),
       reservations_(reservations),
-      orders_(orders),
       jobs_(jobs),
       token_(token),
       move_time_(move_time),
@@ -230,8 +228,7 @@
 
 bool capacity_manager::movable(const fleet_vm& vm)
 {
-    if (vm.state != vm_state::up || reservations_.reserved(vm.vm) ||
-        orders_.held_by_previous_leader(vm.vm)) {
+    if (vm.state != vm_state::up || reservations_.reserved(vm.vm)) {
         return false;
     }
     const auto refused = backoff_until_.find(vm.vm);
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -17,7 +17,6 @@
 #include "jobs/task_runner.h"
 #include "jobs/vm_directory.h"
 #include "jobs/vm_order.h"
-#include "jobs/vm_order_log.h"
 #include "jobs/vm_reservations.h"
 #include "net/timer_service.h"
 
@@ -28,9 +27,8 @@
 class capacity_manager {
 public:
     capacity_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
-                     vm_reservations& reservations, const vm_order_log& orders, job_table& jobs,
-                     std::int64_t token, milliseconds move_time,
-                     std::function<bool(const std::string& vm)> may_order);
+                     vm_reservations& reservations, job_table& jobs, std::int64_t token,
+                     milliseconds move_time, std::function<bool(const std::string& vm)> may_order);
     ~capacity_manager();
     capacity_manager(const capacity_manager&) = delete;
     capacity_manager& operator=(const capacity_manager&) = delete;
@@ -82,7 +80,6 @@
     vm_port& vm_port_;
     vm_directory& directory_;
     vm_reservations& reservations_;
-    const vm_order_log& orders_;
     job_table& jobs_;
     std::int64_t token_;
     milliseconds move_time_;
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -91,12 +91,12 @@
     vm_directory_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
     wave_manager_ = std::make_unique<wave_manager>(
         timers_, *ports_.vms, *vm_directory_, *ports_.store, *ports_.documents, *runner_,
-        reservations_, *vm_orders_, leader_, may_order, may_act_, [this](const task& candidate) {
+        reservations_, leader_, may_order, may_act_, [this](const task& candidate) {
             return config_ && scheduler_->fits_elsewhere(candidate, *config_);
         });
-    capacity_manager_ = std::make_unique<capacity_manager>(
-        timers_, *ports_.vms, *vm_directory_, reservations_, *vm_orders_, jobs_, leader_.token,
-        settings_.move_time, may_order);
+    capacity_manager_ =
+        std::make_unique<capacity_manager>(timers_, *ports_.vms, *vm_directory_, reservations_,
+                                           jobs_, leader_.token, settings_.move_time, may_order);
 }
 
 engine::~engine()
@@ -136,9 +136,11 @@
 {
     const auto now = timers_.now();
     if (!writer_->writes_failing() || jobs_.find(spec.id) != nullptr) {
-        accept(std::move(spec), now, std::move(done));
+        accept(std::move(spec), now, done);
     }
     else if (writer_->unanswered_for() && *writer_->unanswered_for() < max_wait_for_store) {
+        log_event(log_level::info, "submission.held",
+                  {{"job", spec.id}, {"queue", spec.queue}, {"reason", "a store answer is late"}});
         held_submissions_.push_back(
             {std::move(spec), std::move(done), now, now + max_wait_for_store});
     }
@@ -150,7 +152,7 @@
 }
 
 void engine::accept(job_spec spec, net::boot_time received,
-                    std::function<void(submit_outcome)> done)
+                    const std::function<void(submit_outcome)>& done)
 {
     const auto answer = [this, done, queue = spec.queue, received](bool durable) {
         ports_.metrics->record_submission(queue, durable ? "accepted" : "unknown",
@@ -193,6 +195,13 @@
 void engine::refuse(const job_spec& spec, net::boot_time received,
                     const std::function<void(submit_outcome)>& done)
 {
+    const auto held_for =
+        std::chrono::duration_cast<milliseconds>(timers_.now() - received).count();
+    log_event(log_level::info, "submission.refused",
+              {{"job", spec.id},
+               {"queue", spec.queue},
+               {"reason", "nothing can be recorded now"},
+               {"held_ms", std::to_string(held_for)}});
     ports_.metrics->record_submission(spec.queue, "unavailable", timers_.now() - received);
     done(submit_outcome::unavailable);
 }
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -100,7 +100,8 @@
     void on_job_durable(job& job, std::int64_t version);
     void on_roster_durable(const std::string& key, std::int64_t version);
 
-    void accept(job_spec spec, net::boot_time received, std::function<void(submit_outcome)> done);
+    void accept(job_spec spec, net::boot_time received,
+                const std::function<void(submit_outcome)>& done);
     void refuse(const job_spec& spec, net::boot_time received,
                 const std::function<void(submit_outcome)>& done);
     void accept_held_submissions();
--- a/src/jobs/vm_order_log.h
+++ b/src/jobs/vm_order_log.h
@@ -36,7 +36,7 @@
     // the record.
     bool may_order(const std::string& vm);
     // True while the VM may have orders of the previous leader in progress, so that may_order()
-    // refuses it. Such a VM is of most use where it is.
+    // refuses it.
     bool held_by_previous_leader(const std::string& vm) const;
 
     std::int64_t version() const { return version_; }
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -24,8 +24,8 @@
 
 wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                            store_port& store, const document_codec& documents, task_runner& runner,
-                           vm_reservations& reservations, const vm_order_log& orders,
-                           leader_record leader, std::function<bool(const std::string&)> may_order,
+                           vm_reservations& reservations, leader_record leader,
+                           std::function<bool(const std::string&)> may_order,
                            std::function<bool()> may_act,
                            std::function<bool(const task&)> may_relocate)
     : timers_(timers),
@@ -35,7 +35,6 @@
       documents_(documents),
       runner_(runner),
       reservations_(reservations),
-      orders_(orders),
       leader_(std::move(leader)),
       may_order_(std::move(may_order)),
       may_act_(std::move(may_act)),
@@ -148,7 +147,7 @@
         }
         const auto* const listed = directory_.find(name);
         if (vm.phase != wave_phase::waiting || listed == nullptr || listed->state != vm_state::up ||
-            reservations_.reserved(name) || orders_.held_by_previous_leader(name)) {
+            reservations_.reserved(name)) {
             continue; // a VM that is being moved is maintained after its move
         }
         auto* const handle = directory_.worker_on_vm(name);
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -12,7 +12,6 @@
 #include "jobs/task_runner.h"
 #include "jobs/vm_directory.h"
 #include "jobs/vm_order.h"
-#include "jobs/vm_order_log.h"
 #include "jobs/vm_reservations.h"
 #include "net/timer_service.h"
 
@@ -29,7 +28,7 @@
     // certainly is the leader. `may_relocate`: whether another worker has capacity for the task.
     wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                  store_port& store, const document_codec& documents, task_runner& runner,
-                 vm_reservations& reservations, const vm_order_log& orders, leader_record leader,
+                 vm_reservations& reservations, leader_record leader,
                  std::function<bool(const std::string& vm)> may_order,
                  std::function<bool()> may_act, std::function<bool(const task&)> may_relocate);
     ~wave_manager();
@@ -76,7 +75,6 @@
     const document_codec& documents_;
     task_runner& runner_;
     vm_reservations& reservations_;
-    const vm_order_log& orders_;
     leader_record leader_;
     std::function<bool(const std::string&)> may_order_;
     std::function<bool()> may_act_;
