--- /dev/null
+++ b/src/jobs/engine_submissions.cpp
@@ -0,0 +1,159 @@
+// The operations that the engine offers to callers: submitting jobs, their states, cancelling.
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "jobs/capacity_manager.h"
+#include "jobs/engine.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A store that has not answered for this long is down; until then, single answers may be lost.
+// Submissions wait meanwhile. Nothing of them is written, so that they can still be refused.
+constexpr auto max_wait_for_store = 400ms;
+
+} // namespace
+
+void engine::submit(job_spec spec, std::function<void(submit_outcome)> done)
+{
+    const auto now = timers_.now();
+    if (!writer_->writes_failing() || jobs_.find(spec.id) != nullptr) {
+        accept(std::move(spec), now, done);
+    }
+    else if (writer_->unanswered_for() && *writer_->unanswered_for() < max_wait_for_store) {
+        log_event(log_level::info, "submission.held",
+                  {{"job", spec.id}, {"queue", spec.queue}, {"reason", "a store answer is late"}});
+        held_submissions_.push_back(
+            {std::move(spec), std::move(done), now, now + max_wait_for_store});
+    }
+    else {
+        // The store is down. If the submission were held, it would only wait until its caller's
+        // deadline.
+        refuse(spec, now, done);
+    }
+}
+
+void engine::accept(job_spec spec, net::boot_time received,
+                    const std::function<void(submit_outcome)>& done)
+{
+    const auto answer = [this, done, queue = spec.queue, received](bool durable) {
+        ports_.metrics->record_submission(queue, durable ? "accepted" : "unknown",
+                                          timers_.now() - received);
+        done(durable ? submit_outcome::accepted : submit_outcome::unknown);
+    };
+    if (auto* const existing = jobs_.find(spec.id)) {
+        if (existing->durable()) {
+            done(submit_outcome::accepted);
+        }
+        else {
+            existing->durability_callbacks.emplace_back(answer);
+        }
+        return;
+    }
+    const auto* const queue = config_->find_queue(spec.queue);
+    if (queue == nullptr) { // removed while the submission was held
+        refuse(spec, received, done);
+        return;
+    }
+    auto& job = jobs_.insert(std::move(spec));
+    job.accepted = timers_.wall_now() - (timers_.now() - received);
+    job.objective = received + completion_objective(*queue, job.spec);
+    job.services = {queue->service};
+    if (!job.spec.has_schedule()) {
+        begin_occurrence(job);
+    }
+    job.durability_callbacks.emplace_back(answer);
+    if (capacity_manager_) {
+        capacity_manager_->note_arrival(queue->service, job);
+    }
+    log_event(log_level::info, "job.submitted",
+              {{"job", job.spec.id},
+               {"queue", job.spec.queue},
+               {"steps", std::to_string(job.spec.steps.size())},
+               {"config", std::to_string(config_->version)}});
+    writer_->mark_dirty(job_prefix + job.spec.id);
+}
+
+void engine::refuse(const job_spec& spec, net::boot_time received,
+                    const std::function<void(submit_outcome)>& done)
+{
+    const auto held_for =
+        std::chrono::duration_cast<milliseconds>(timers_.now() - received).count();
+    log_event(log_level::info, "submission.refused",
+              {{"job", spec.id},
+               {"queue", spec.queue},
+               {"reason", "nothing can be recorded now"},
+               {"held_ms", std::to_string(held_for)}});
+    ports_.metrics->record_submission(spec.queue, "unavailable", timers_.now() - received);
+    done(submit_outcome::unavailable);
+}
+
+// The store answers again.
+void engine::accept_held_submissions()
+{
+    const auto held = std::move(held_submissions_);
+    held_submissions_.clear();
+    for (const auto& submission : held) {
+        accept(submission.spec, submission.received, submission.done);
+    }
+}
+
+// Callers whose submissions have waited too long do better to come back later.
+void engine::refuse_overdue_submissions()
+{
+    const auto now = timers_.now();
+    while (!held_submissions_.empty() && held_submissions_.front().until <= now) {
+        const auto overdue = std::move(held_submissions_.front());
+        held_submissions_.pop_front();
+        refuse(overdue.spec, overdue.received, overdue.done);
+    }
+}
+
+std::optional<job_state> engine::state(const std::string& id) const
+{
+    const auto found = jobs_.all().find(id);
+    if (found == jobs_.all().end()) {
+        return std::nullopt;
+    }
+    const auto& job = *found->second;
+    if (job.durable_state == job_state::queued && job.any_started) {
+        return job_state::running;
+    }
+    return job.durable_state;
+}
+
+void engine::cancel(const std::string& id, std::function<void(cancel_outcome)> done)
+{
+    auto* const job = jobs_.find(id);
+    if (job == nullptr) {
+        done(cancel_outcome::no_such_job);
+        return;
+    }
+    if (job->active()) {
+        log_event(log_level::info, "job.cancel", {{"job", id}, {"queue", job->spec.queue}});
+        finish(*job, job_state::cancelled);
+    }
+    if (job->durable_version >= job->version) {
+        done(cancel_outcome::cancelled);
+        return;
+    }
+    job->durability_callbacks.emplace_back([done = std::move(done)](bool durable) {
+        done(durable ? cancel_outcome::cancelled : cancel_outcome::unknown);
+    });
+}
+
+std::size_t engine::count_waiting_jobs(const std::string& queue) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(jobs_.active().begin(), jobs_.active().end(), [&](const job* job) {
+            return job->spec.queue == queue && job->active() && job->durable() &&
+                   !job->spec.has_schedule() && !job->any_started;
+        }));
+}
+
+} // namespace jl::jobs
