--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -19,12 +19,12 @@
 // Provides a server on a free port with the handler of the test, and a client connected to it.
 class async_http : public ::testing::Test {
 protected:
-    void start_server(async_handler handler)
+    void start_server(async_handler handler, async_client_limits limits = {})
     {
         server = std::make_unique<async_server>(loop, endpoint{"127.0.0.1", 0},
                                                 async_server_limits{}, std::move(handler));
-        client = std::make_unique<async_client>(loop, endpoint{"127.0.0.1", server->port()},
-                                                async_client_limits{});
+        client =
+            std::make_unique<async_client>(loop, endpoint{"127.0.0.1", server->port()}, limits);
     }
 
     // Runs the loop until `count` results have arrived, for 10 s at most.
@@ -151,6 +151,32 @@
     EXPECT_EQ(server->open_requests(), 0U);
 }
 
+// Load pattern: a worker leaves one order in five without an answer. Guards against orders that
+// wait behind an unanswered one until its time is over.
+TEST_F(async_http, exchanges_behind_a_silent_connection_use_another_one)
+{
+    async_client_limits limits;
+    limits.max_connections = 1;
+    limits.silent_after = 20ms;
+    limits.max_silent_connections = 1;
+    std::vector<responder> unanswered;
+    start_server(
+        [&](const http::request& request, const responder& respond) {
+            if (request.target == "/silent") {
+                unanswered.push_back(respond);
+                return;
+            }
+            respond(http::response{});
+        },
+        limits);
+    send("/silent");
+    send("/a");
+    send("/b");
+    run_until_results(2); // the first one is still waiting
+    ASSERT_EQ(results.size(), 2U);
+    EXPECT_TRUE(results[0].answer && results[1].answer);
+}
+
 TEST(http_framing, takes_request_only_when_complete)
 {
     message_buffer buffer(1024, 1024);
