Derive the end of a held submission's wait, and do nothing per stored record when none is held

The end of the wait is the arrival plus a constant. The list was moved, which allocates, for each record that became durable, and each held job was copied.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -160,7 +160,6 @@
         job_spec spec;
         std::function<void(submit_outcome)> done;
         net::boot_time received{};
-        net::boot_time until{}; // refused then
     };
     std::deque<held_submission> held_submissions_;
 
--- a/src/jobs/engine_submissions.cpp
+++ b/src/jobs/engine_submissions.cpp
@@ -28,8 +28,7 @@
     else if (writer_->unanswered_for() && *writer_->unanswered_for() < max_wait_for_store) {
         log_event(log_level::info, "submission.held",
                   {{"job", spec.id}, {"queue", spec.queue}, {"reason", "a store answer is late"}});
-        held_submissions_.push_back(
-            {std::move(spec), std::move(done), now, now + max_wait_for_store});
+        held_submissions_.push_back({std::move(spec), std::move(done), now});
     }
     else {
         // The store is down. If the submission were held, it would only wait until its caller's
@@ -96,18 +95,21 @@
 // The store answers again.
 void engine::accept_held_submissions()
 {
-    const auto held = std::move(held_submissions_);
+    if (held_submissions_.empty()) {
+        return; // called for each record that is stored
+    }
+    auto held = std::move(held_submissions_);
     held_submissions_.clear();
-    for (const auto& submission : held) {
-        accept(submission.spec, submission.received, submission.done);
+    for (auto& submission : held) {
+        accept(std::move(submission.spec), submission.received, submission.done);
     }
 }
 
 // Callers whose submissions have waited too long do better to come back later.
 void engine::refuse_overdue_submissions()
 {
-    const auto now = timers_.now();
-    while (!held_submissions_.empty() && held_submissions_.front().until <= now) {
+    const auto oldest = timers_.now() - max_wait_for_store;
+    while (!held_submissions_.empty() && held_submissions_.front().received <= oldest) {
         const auto overdue = std::move(held_submissions_.front());
         held_submissions_.pop_front();
         refuse(overdue.spec, overdue.received, overdue.done);
