Log the attempts of a start that may still be carried out

A refused start named its reason, but not which attempt was refused, nor whether earlier ones had got no answer. So a log could not tell whether a run that began late had been refused before. Each worker now has a list of its starts without an outcome (open_starts); task.start_refused and task.stray_run show it, and jl_stray_runs_total counts runs that belong to no task.

No decision uses the list yet.

--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/job_metrics.cpp
@@ -54,6 +54,12 @@
                    {{"reason", to_string(reason)}});
 }
 
+void job_metrics::record_stray_run()
+{
+    metrics_.count("jl_stray_runs_total", "Runs that were stopped because they belong to no task",
+                   {});
+}
+
 void job_metrics::record_lost_tasks(std::size_t tasks)
 {
     metrics_.count("jl_tasks_lost_total", "Tasks lost with their worker", {},
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -24,6 +24,8 @@
                              std::chrono::nanoseconds duration);
     void record_task_end(end_kind kind);
     void record_refused_start(order_status reason);
+    // A worker runs a task, or may begin to, that the leader does not want on it.
+    void record_stray_run();
     void record_lost_tasks(std::size_t tasks);
     // A job was given up because a task of it crashes its workers.
     void record_job_given_up(const std::string& queue);
--- /dev/null
+++ b/src/jobs/open_starts.cpp
@@ -0,0 +1,57 @@
+#include "jobs/open_starts.h"
+
+namespace jl::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The platform carries out an order without an answer "seconds later" and names no bound.
+constexpr auto late_execution_limit = 20s;
+
+} // namespace
+
+void open_starts::on_sent(const task_name& task, std::int64_t run, net::boot_time now)
+{
+    auto& open = runs_[{task.to_string(), run}];
+    open.task = task;
+    ++open.attempts;
+    open.last_sent_at = now;
+}
+
+void open_starts::on_answered(const task_name& task, std::int64_t run, order_status status)
+{
+    if (status == order_status::unanswered) {
+        return;
+    }
+    const auto found = runs_.find({task.to_string(), run});
+    if (found != runs_.end() && --found->second.attempts == 0) {
+        runs_.erase(found);
+    }
+}
+
+int open_starts::attempts(const task_name& task, std::int64_t run) const
+{
+    const auto found = runs_.find({task.to_string(), run});
+    return found == runs_.end() ? 0 : found->second.attempts;
+}
+
+std::vector<open_starts::task_run> open_starts::runs() const
+{
+    std::vector<task_run> result;
+    result.reserve(runs_.size());
+    for (const auto& [key, open] : runs_) {
+        result.push_back({open.task, key.second});
+    }
+    return result;
+}
+
+void open_starts::expire(net::boot_time now)
+{
+    for (auto next = runs_.begin(); next != runs_.end();) {
+        const bool expired = next->second.last_sent_at + late_execution_limit < now;
+        next = expired ? runs_.erase(next) : std::next(next);
+    }
+}
+
+} // namespace jl::jobs
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -200,7 +200,8 @@
     std::vector<std::string> forgotten;
     const auto now = timers_.now();
     for (auto next = worker_handles_.begin(); next != worker_handles_.end();) {
-        const auto& handle = next->second;
+        auto& handle = next->second;
+        handle.starts.expire(now);
         const bool settled =
             handle.session->dead() || now >= handle.unregistered_at + unregistered_retention;
         if (!handle.registered && handle.assigned.empty() && settled &&
@@ -309,6 +310,7 @@
     if (target->isolation != task_isolation::none) {
         handle->session->limit_next_wait(decisions::crash_window);
     }
+    handle->starts.on_sent(name, run, timers_.now());
     handle->session->start(std::move(order), [this, name, run, worker](const order_result& result) {
         on_started(name, run, worker, result);
     });
@@ -318,6 +320,9 @@
                              const order_result& result)
 {
     auto* const handle = find_worker(worker);
+    if (handle != nullptr) {
+        handle->starts.on_answered(name, run, result.status);
+    }
     if (result.status == order_status::fenced) {
         listener_.fenced(worker);
         return;
@@ -335,7 +340,9 @@
                   {{"task", name.to_string()},
                    {"run", std::to_string(run)},
                    {"worker", worker},
-                   {"reason", to_string(result.status)}});
+                   {"reason", to_string(result.status)},
+                   {"attempt", std::to_string(target->order_attempts)},
+                   {"open_attempts", std::to_string(handle->starts.attempts(name, run))}});
     }
     switch (result.status) {
     case order_status::accepted:
@@ -468,12 +475,15 @@
 // Stops a run that is not the current run of its task.
 void task_runner::stop_stray(worker_handle& handle, const task_name& name, std::int64_t run)
 {
-    log_event(
-        log_level::warning, "task.stray_run",
-        {{"task", name.to_string()}, {"run", std::to_string(run)}, {"worker", handle.info().id}});
+    log_event(log_level::warning, "task.stray_run",
+              {{"task", name.to_string()},
+               {"run", std::to_string(run)},
+               {"worker", handle.info().id},
+               {"open_attempts", std::to_string(handle.starts.attempts(name, run))}});
     auto& stray = handle.strays[name.to_string()];
     if (stray.run != run) {
         stray = {run, order_unconfirmed};
+        metrics_.record_stray_run();
     }
     stop_order order;
     order.task = name;
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -13,6 +13,7 @@
 #include "jobs/crash_ledger.h"
 #include "jobs/job_metrics.h"
 #include "jobs/job_table.h"
+#include "jobs/open_starts.h"
 #include "jobs/worker_session.h"
 
 namespace jl::jobs {
@@ -68,6 +69,7 @@
         net::boot_time stop_confirmed_at = order_unconfirmed;
     };
     std::map<std::string, stray_run> strays; // by task name
+    open_starts starts;
 
     const worker_registration& info() const { return session->info(); }
 
