Test, failing: a start whose repetition was refused runs beside its successor

Fails on for each refusal that holds for one attempt only (no_room, unhealthy, ticket_rejected, rejected, lease_too_late): the worker carries the first attempt out three seconds later, when the task runs or has ended elsewhere.

--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -332,6 +332,10 @@
         result.status = order_status::lease_too_late;
         return result;
     }
+    if (worker.answer_to_starts != order_status::accepted) {
+        result.status = worker.answer_to_starts;
+        return result;
+    }
     check_start(id, order);
     extend_lease(worker, order.lease_until);
     auto& run = worker.active[name];
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -52,6 +52,12 @@
     // Crashes the worker and starts it again under the same id.
     void restart(const std::string& id);
     void set_mode(const std::string& id, worker_mode mode) { state(id).mode = mode; }
+    // From now on the worker refuses each start that it would otherwise carry out; `accepted` ends
+    // this.
+    void refuse_starts(const std::string& id, order_status reason)
+    {
+        state(id).answer_to_starts = reason;
+    }
     // Changes the worker's capacity and returns its new registration.
     worker_registration resize(const std::string& id, task_resources capacity);
     const worker_registration& registration(const std::string& id) const
@@ -123,6 +129,7 @@
         worker_registration info;
         bool up = true;
         worker_mode mode = worker_mode::answering;
+        order_status answer_to_starts = order_status::accepted;
         std::int64_t token = 0;
         std::map<std::string, active_run> active; // by task name
         std::map<std::string, std::int64_t> highest_ended_run;
--- /dev/null
+++ b/src/jobs/unanswered_starts_test.cpp
@@ -0,0 +1,76 @@
+// A start without an answer may be carried out seconds later, whatever later attempts are answered.
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "jobs/engine.h"
+#include "jobs/testing/test_fleet.h"
+
+namespace jl::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::make_job;
+using testing::test_fleet;
+using testing::worker_mode;
+
+const std::string job_id = "00000000000000a1";
+const std::string only_task = job_id + ".0.0.0";
+
+class unanswered_starts_test : public ::testing::Test {
+protected:
+    // Sends attempts of the task's start to worker w0, which carries them out three seconds later.
+    // Later starts can only go to w1.
+    void start_without_an_answer()
+    {
+        fleet.workers.default_plan.duration = 1500ms;
+        fleet.workers.late_order_delay = 3000ms;
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        fleet.timers.run_for(100ms);
+        fleet.workers.set_mode("w0", worker_mode::delayed);
+        ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        fleet.timers.run_for(200ms);
+        ASSERT_EQ(fleet.workers.start_count(only_task), 0);
+        auto draining = fleet.workers.registration("w0");
+        draining.draining = true;
+        fleet.list_worker(draining);
+        fleet.list_worker(fleet.workers.add("w1", "rounds"));
+        fleet.workers.set_mode("w0", worker_mode::answering);
+    }
+
+    void expect_completion_without_violation()
+    {
+        EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 20s));
+        fleet.timers.run_for(5s);
+        for (const auto& violation : fleet.workers.violations()) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    test_fleet fleet{1};
+};
+
+class refused_repetition : public unanswered_starts_test,
+                           public ::testing::WithParamInterface<order_status> {};
+
+// Guards against a task that runs twice: a refusal of the repeated start was taken for the outcome
+// of all attempts, the task was started elsewhere, and the first attempt was carried out after all.
+TEST_P(refused_repetition, task_does_not_run_twice)
+{
+    start_without_an_answer();
+    fleet.workers.refuse_starts("w0", GetParam());
+    fleet.timers.run_for(800ms);
+    fleet.workers.refuse_starts("w0", order_status::accepted);
+    expect_completion_without_violation();
+}
+
+INSTANTIATE_TEST_SUITE_P(reasons, refused_repetition,
+                         ::testing::Values(order_status::no_room, order_status::unhealthy,
+                                           order_status::ticket_rejected, order_status::rejected,
+                                           order_status::lease_too_late),
+                         [](const auto& info) { return to_string(info.param); });
+
+} // namespace
+} // namespace jl::jobs
