Stop a run whose start was refused while earlier attempts are open

Callers saw a task run twice (TWICE). Cause: task_runner::on_started took the refusal of a repeated start for the outcome of all attempts and released the task. An earlier attempt that had got no answer was carried out seconds later, beside the run that had been started elsewhere, or after it.

No other incarnation and no lapsed lease was involved.

The run is stopped now, and the task released once the worker has confirmed the stop: it rejects every later start of that run.

--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -385,6 +385,10 @@
     default:
         break;
     }
+    if (handle->starts.contains(name, run)) {
+        stop(*target, "an earlier attempt to start it may still be carried out");
+        return;
+    }
     release(*target);
 }
 
