Stop open starts on the next incarnation of their worker

An attempt without an answer may reach the next incarnation of its worker, which has forgotten that the run was stopped, accepted or has ended. Only tasks that were still starting were stopped there; a task whose later attempt had been accepted was released at once (or had ended), and the open attempt could start it a second time.

Open starts are kept by worker id, so that they outlive the worker's session.

--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -102,6 +102,7 @@
         return update_worker(found->second, info);
     }
     add_worker(info, source);
+    stop_open_starts(worker_handles_.at(info.id));
     end_earlier_incarnations(info);
     if (source != registration_source::roster) {
         crashes_.worker_registered(info);
@@ -197,11 +198,11 @@
 
 std::vector<std::string> task_runner::forget_unregistered()
 {
+    expire_open_starts();
     std::vector<std::string> forgotten;
     const auto now = timers_.now();
     for (auto next = worker_handles_.begin(); next != worker_handles_.end();) {
-        auto& handle = next->second;
-        handle.starts.expire(now);
+        const auto& handle = next->second;
         const bool settled =
             handle.session->dead() || now >= handle.unregistered_at + unregistered_retention;
         if (!handle.registered && handle.assigned.empty() && settled &&
@@ -310,7 +311,7 @@
     if (target->isolation != task_isolation::none) {
         handle->session->limit_next_wait(decisions::crash_window);
     }
-    handle->starts.on_sent(name, run, timers_.now());
+    open_starts_[worker].on_sent(name, run, timers_.now());
     handle->session->start(std::move(order), [this, name, run, worker](const order_result& result) {
         on_started(name, run, worker, result);
     });
@@ -320,9 +321,7 @@
                              const order_result& result)
 {
     auto* const handle = find_worker(worker);
-    if (handle != nullptr) {
-        handle->starts.on_answered(name, run, result.status);
-    }
+    open_starts_[worker].on_answered(name, run, result.status);
     if (result.status == order_status::fenced) {
         listener_.fenced(worker);
         return;
@@ -342,7 +341,7 @@
                    {"worker", worker},
                    {"reason", to_string(result.status)},
                    {"attempt", std::to_string(target->order_attempts)},
-                   {"open_attempts", std::to_string(handle->starts.attempts(name, run))}});
+                   {"open_attempts", std::to_string(open_attempts(name, run, worker))}});
     }
     switch (result.status) {
     case order_status::accepted:
@@ -385,7 +384,7 @@
     default:
         break;
     }
-    if (handle->starts.contains(name, run)) {
+    if (start_is_open(*target)) {
         stop(*target, "an earlier attempt to start it may still be carried out");
         return;
     }
@@ -483,7 +482,7 @@
               {{"task", name.to_string()},
                {"run", std::to_string(run)},
                {"worker", handle.info().id},
-               {"open_attempts", std::to_string(handle.starts.attempts(name, run))}});
+               {"open_attempts", std::to_string(open_attempts(name, run, handle.info().id))}});
     auto& stray = handle.strays[name.to_string()];
     if (stray.run != run) {
         stray = {run, order_unconfirmed};
@@ -530,6 +529,53 @@
     });
 }
 
+void task_runner::stop_on_new_incarnation(task& target)
+{
+    if (target.phase != task_phase::stopping) {
+        stop(target, "its worker has restarted");
+        return;
+    }
+    const bool repeats = target.order_confirmed_at == order_unconfirmed;
+    if (!repeats) {
+        target.order_confirmed_at = order_unconfirmed;
+        send_stop(target.name(), target.run, target.worker);
+    }
+}
+
+void task_runner::stop_open_starts(worker_handle& handle)
+{
+    const auto& worker = handle.info().id;
+    const auto found = open_starts_.find(worker);
+    if (found == open_starts_.end()) {
+        return;
+    }
+    for (const auto& open : found->second.runs()) {
+        if (find_current_run(open.task, open.run, worker) == nullptr) {
+            stop_stray(handle, open.task, open.run);
+        }
+    }
+}
+
+bool task_runner::start_is_open(const task& target) const
+{
+    return open_attempts(target.name(), target.run, target.worker) > 0;
+}
+
+int task_runner::open_attempts(const task_name& name, std::int64_t run,
+                               const std::string& worker) const
+{
+    const auto found = open_starts_.find(worker);
+    return found == open_starts_.end() ? 0 : found->second.attempts(name, run);
+}
+
+void task_runner::expire_open_starts()
+{
+    for (auto next = open_starts_.begin(); next != open_starts_.end();) {
+        next->second.expire(timers_.now());
+        next = next->second.empty() ? open_starts_.erase(next) : std::next(next);
+    }
+}
+
 void task_runner::set_pace(task& target, int percent)
 {
     auto* const handle = find_worker(target.worker);
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -69,7 +69,6 @@
         net::boot_time stop_confirmed_at = order_unconfirmed;
     };
     std::map<std::string, stray_run> strays; // by task name
-    open_starts starts;
 
     const worker_registration& info() const { return session->info(); }
 
@@ -178,6 +177,14 @@
     void retry_start(task& target);
     void send_stop(const task_name& name, std::int64_t run, const std::string& worker);
     void stop_stray(worker_handle& handle, const task_name& name, std::int64_t run);
+    // Stops the task on the new incarnation of its worker, which a start may still reach.
+    void stop_on_new_incarnation(task& target);
+    // Stops what open starts may still begin on a new incarnation of the worker, except the current
+    // runs of tasks.
+    void stop_open_starts(worker_handle& handle);
+    bool start_is_open(const task& target) const;
+    int open_attempts(const task_name& name, std::int64_t run, const std::string& worker) const;
+    void expire_open_starts();
     void on_stray_stopped(const task_name& name, std::int64_t run, const std::string& worker,
                           const order_result& result);
     static void forget_ended_strays(worker_handle& handle, const hold_report& report,
@@ -208,6 +215,7 @@
     crash_ledger crashes_;
     std::map<std::string, worker_handle> worker_handles_;                     // by worker id
     std::unordered_map<std::string, std::vector<std::string>> workers_by_vm_; // by VM
+    std::map<std::string, open_starts> open_starts_; // by worker id, outlives worker_handle
     std::set<std::string> workers_with_unacknowledged_ends_;
     std::set<std::string> services_with_unseen_losses_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -53,8 +53,8 @@
     // it reject that start.
     std::set<task*> lost;
     for (auto* const target : std::set<task*>(handle->assigned)) {
-        if (target->phase == task_phase::starting) {
-            stop(*target, "its worker has restarted");
+        if (target->phase == task_phase::starting || start_is_open(*target)) {
+            stop_on_new_incarnation(*target);
         }
         else if (target->phase != task_phase::stopping ||
                  target->order_confirmed_at != order_unconfirmed) {
@@ -62,6 +62,7 @@
         }
     }
     release_lost_tasks(*handle, lost, loss_cause::restarted);
+    stop_open_starts(*handle);
 }
 
 void task_runner::on_lost(worker_session& session, loss_cause cause)
--- a/src/jobs/unanswered_starts_test.cpp
+++ b/src/jobs/unanswered_starts_test.cpp
@@ -72,5 +72,27 @@
                                            order_status::lease_too_late),
                          [](const auto& info) { return to_string(info.param); });
 
+class restart_with_open_start : public unanswered_starts_test,
+                                public ::testing::WithParamInterface<milliseconds> {};
+
+// Guards against a task that runs twice: an attempt without an answer is carried out by the next
+// incarnation of its worker, although a later attempt was accepted and the run was lost or has
+// ended.
+TEST_P(restart_with_open_start, task_does_not_run_twice)
+{
+    start_without_an_answer();
+    fleet.timers.run_for(GetParam());
+    ASSERT_EQ(fleet.workers.start_count(only_task), 1);
+    fleet.workers.restart("w0");
+    fleet.timers.run_for(20ms);
+    fleet.list_worker(fleet.workers.registration("w0"));
+    expect_completion_without_violation();
+}
+
+INSTANTIATE_TEST_SUITE_P(moments, restart_with_open_start, ::testing::Values(300ms, 1000ms, 2200ms),
+                         [](const auto& info) {
+                             return "after_" + std::to_string(info.param.count()) + "_ms";
+                         });
+
 } // namespace
 } // namespace jl::jobs
