Use no answer of a worker's former incarnation for the present one

An answer that was on its way while the worker restarted was taken for one of the new incarnation: a stop counted as confirmed although the new one had never received it, so that an open start could still run there after the task was released; a late report set the number of the last known end, so that the new incarnation's ends up to that number were taken for known. An answer 421, which another worker gives at the same address, counted as a restart of the expected worker.

Orders answered by a former incarnation are now passed on as unanswered, its reports are dropped. Both tests of worker_session_test failed before.

--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -180,6 +180,10 @@
     if (dead_) {
         return; // an answer of an incarnation that has ended
     }
+    if (of_former_incarnation(report.result)) {
+        schedule_hold(0ms); // its ends and runs are numbered apart from those of the present one
+        return;
+    }
     const auto alive = alive_;
     switch (report.result.status) {
     case order_status::accepted:
@@ -236,12 +240,18 @@
     }
 }
 
+bool worker_session::of_former_incarnation(const order_result& result) const
+{
+    return result.status != order_status::other_worker && result.started_at_ms != 0 &&
+           result.started_at_ms < born_;
+}
+
 void worker_session::record_result(const order_result& result)
 {
+    if (result.status == order_status::other_worker || of_former_incarnation(result)) {
+        return;
+    }
     if (result.started_at_ms != 0 && born_ != 0 && result.started_at_ms != born_) {
-        if (result.started_at_ms < born_) {
-            return; // late answer of an earlier incarnation, from another connection
-        }
         const worker_incarnation former{info_.id, born_};
         born_ = result.started_at_ms;
         worker_clock_.reset();
@@ -307,7 +317,7 @@
 }
 
 // Returns a callback that records the worker's clock and incarnation from an answer before it calls
-// `done`.
+// `done`. An answer of an earlier incarnation is passed on as none.
 std::function<void(const order_result&)>
 worker_session::with_result_recorded(std::function<void(const order_result&)> done)
 {
@@ -318,6 +328,10 @@
         }
         record_round_trip(result, sent_at);
         record_loss(result);
+        if (of_former_incarnation(result)) {
+            done(order_result{}); // it says nothing about the present incarnation
+            return;
+        }
         record_result(result);
         if (*alive) {
             done(result);
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -120,6 +120,8 @@
     void on_hold(const hold_report& report, net::boot_time requested_at, milliseconds timeout);
     void schedule_hold(std::chrono::nanoseconds delay);
     void record_result(const order_result& result);
+    // True if an earlier incarnation of the worker has sent the answer.
+    bool of_former_incarnation(const order_result& result) const;
     std::function<void(const order_result&)>
     with_result_recorded(std::function<void(const order_result&)> done);
     // Adds the outcome of a call that the worker answers at once.
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -20,9 +20,10 @@
     int starts = 0;
     int stops = 0;
     int paces = 0;
-    milliseconds hold_wait{0};   // of the last hold
-    milliseconds hold_margin{0}; // by which the last hold's time-out exceeds its wait
-    int holds_to_lose = 0;       // that get no answer
+    milliseconds hold_wait{0};    // of the last hold
+    milliseconds hold_margin{0};  // by which the last hold's time-out exceeds its wait
+    int holds_to_lose = 0;        // that get no answer
+    std::int64_t incarnation = 1; // that answers
 };
 
 // Counts the orders that are sent to the worker and accepts them.
@@ -62,9 +63,9 @@
             timers_.call_after(timeout, [done = std::move(done)] { done(hold_report{}); });
             return;
         }
-        timers_.call_after(answer_delay, [done = std::move(done)] {
+        timers_.call_after(answer_delay, [done = std::move(done), result = accepted()] {
             hold_report report;
-            report.result = accepted();
+            report.result = result;
             done(report);
         });
     }
@@ -73,15 +74,16 @@
 private:
     void accept(std::function<void(const order_result&)> done)
     {
-        timers_.call_after(answer_delay, [done = std::move(done)] { done(accepted()); });
+        timers_.call_after(answer_delay,
+                           [done = std::move(done), result = accepted()] { done(result); });
     }
 
-    static order_result accepted()
+    order_result accepted() const
     {
         order_result result;
         result.status = order_status::accepted;
         result.worker_clock = 1000ms;
-        result.started_at_ms = 1;
+        result.started_at_ms = received_.incarnation;
         return result;
     }
 
@@ -91,12 +93,17 @@
 
 class listener_with_tasks final : public session_listener {
 public:
-    void on_report(worker_session&, const hold_report&, net::boot_time) override {}
+    void on_report(worker_session&, const hold_report& report, net::boot_time) override
+    {
+        last_reporting_incarnation = report.result.started_at_ms;
+    }
     void on_unreachable(worker_session&) override {}
     void on_restarted(worker_session&, const worker_incarnation&) override {}
     void on_lost(worker_session&, loss_cause) override {}
     void on_fenced(worker_session&) override {}
     bool in_use(const worker_session&) const override { return true; }
+
+    std::int64_t last_reporting_incarnation = 0;
 };
 
 class worker_session_test : public ::testing::Test {
@@ -105,7 +112,6 @@
     {
         session_settings settings;
         settings.may_act = [this] { return leading; };
-        worker_registration info;
         info.id = "w0";
         info.started_at_ms = 1;
         session.emplace(timers, listener, std::make_unique<counting_port>(timers, received), info,
@@ -116,6 +122,7 @@
     virtual_timers timers;
     order_counts received;
     listener_with_tasks listener;
+    worker_registration info;
     bool leading = true;
     std::optional<worker_session> session;
 };
@@ -186,5 +193,34 @@
     EXPECT_EQ(received.hold_wait, 1000ms);
 }
 
+// Guards against a stop that counts as confirmed although the present incarnation of the worker has
+// not received it: a start without an answer could still run there.
+TEST_F(worker_session_test, answer_of_a_former_incarnation_does_not_settle_an_order)
+{
+    std::optional<order_status> outcome;
+    session->stop({}, [&outcome](const order_result& result) { outcome = result.status; });
+    info.started_at_ms = 2;
+    received.incarnation = 2;
+    session->update(info);
+    timers.run_for(answer_delay);
+    EXPECT_EQ(outcome, order_status::unanswered);
+}
+
+// Guards against ends of the present incarnation that are taken for known, because a late report of
+// the former one had higher numbers.
+TEST_F(worker_session_test, report_of_a_former_incarnation_is_not_used)
+{
+    session->request_report();
+    timers.run_for(answer_delay / 2);
+    info.started_at_ms = 2;
+    received.incarnation = 2;
+    session->update(info);
+    listener.last_reporting_incarnation = 0;
+    timers.run_for(answer_delay / 2);
+    EXPECT_EQ(listener.last_reporting_incarnation, 0);
+    timers.run_for(1s);
+    EXPECT_EQ(listener.last_reporting_incarnation, 2);
+}
+
 } // namespace
 } // namespace jl::jobs
