Repeat a pace while an earlier order without an answer may take effect

A filler task stayed slow for good: the pace order that slowed it got no answer and took effect after the orders that ended the slow-down, and the leader believed the last accepted one. Also, a refused order no longer reverts the pace that a later order has set.

unanswered_paces.late_order_does_not_slow_a_filler_task_for_good failed before (pace 50 for 100).

--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -66,6 +66,8 @@
     int percent = 0;                        // progress; 100 while a long-running task does its work
     double load = 0;                        // see running_task::load
     int pace = 100;                         // percent of full speed that we allow
+    net::boot_time pace_sent_at{};          // when the last pace order was sent
+    net::boot_time pace_uncertain_until{};  // a pace order without an answer may take effect
     net::boot_time start_sent_at{};         // when the last start was sent or was learned of
     net::boot_time changed_at{};            // last change of `phase` or `percent`
     net::boot_time not_before{};            // earliest time of the next start
--- a/src/jobs/open_starts.cpp
+++ b/src/jobs/open_starts.cpp
@@ -2,15 +2,6 @@
 
 namespace jl::jobs {
 
-namespace {
-
-using namespace std::chrono_literals;
-
-// The platform carries out an order without an answer "seconds later" and names no bound.
-constexpr auto late_execution_limit = 20s;
-
-} // namespace
-
 void open_starts::on_sent(const task_name& task, std::int64_t run, net::boot_time now)
 {
     auto& open = runs_[{task.to_string(), run}];
--- a/src/jobs/ports.h
+++ b/src/jobs/ports.h
@@ -115,6 +115,10 @@
 };
 const char* to_string(order_status status);
 
+// An order without an answer is taken not to be carried out later than this after it was sent. The
+// platform names no bound.
+constexpr std::chrono::seconds late_execution_limit{20};
+
 struct order_result {
     order_status status = order_status::unanswered;
     std::optional<milliseconds> worker_clock; // when the worker answered
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -16,6 +16,7 @@
 constexpr auto stop_retry_delay = 60ms;
 // A start is given up after this time without an answer.
 constexpr auto start_give_up_time = 2000ms;
+constexpr auto pace_repeat_interval = 500ms;
 constexpr auto unhealthy_worker_backoff = 500ms;
 constexpr auto full_worker_backoff = 120ms;
 constexpr auto rejected_task_backoff = 1000ms;
@@ -249,6 +250,7 @@
     target.percent = 0;
     target.load = 0;
     target.pace = 100;
+    target.pace_uncertain_until = {};
     target.changed_at = timers_.now();
     target.order_confirmed_at = order_unconfirmed;
     target.order_attempts = 0;
@@ -576,10 +578,19 @@
     }
 }
 
+// A pace order without an answer may take effect after newer ones, so the present pace is repeated
+// until that is over.
+bool task_runner::pace_repeat_due(const task& target) const
+{
+    const auto now = timers_.now();
+    return now < target.pace_uncertain_until && now >= target.pace_sent_at + pace_repeat_interval;
+}
+
 void task_runner::set_pace(task& target, int percent)
 {
     auto* const handle = find_worker(target.worker);
-    if (handle == nullptr || target.phase != task_phase::running || target.pace == percent) {
+    if (handle == nullptr || target.phase != task_phase::running ||
+        (target.pace == percent && !pace_repeat_due(target))) {
         return;
     }
     log_event(log_level::info, "task.pace",
@@ -588,14 +599,22 @@
                {"percent", std::to_string(percent)}});
     const int previous_percent = target.pace;
     target.pace = percent;
+    target.pace_sent_at = timers_.now();
     pace_order order;
     order.task = target.name();
     order.run = target.run;
     order.percent = percent;
-    handle->session->pace(order, [this, previous_percent, name = target.name(), run = target.run,
+    handle->session->pace(order, [this, previous_percent, percent, name = target.name(),
+                                  run = target.run,
                                   worker = target.worker](const order_result& result) {
         task* const paced = find_current_run(name, run, worker);
-        if (paced != nullptr && result.status != order_status::accepted) {
+        if (paced == nullptr || result.status == order_status::accepted) {
+            return;
+        }
+        if (result.status == order_status::unanswered) {
+            paced->pace_uncertain_until = timers_.now() + late_execution_limit;
+        }
+        else if (paced->pace == percent) {
             paced->pace = previous_percent; // the next report decides again
         }
     });
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -182,6 +182,7 @@
     // Stops what open starts may still begin on a new incarnation of the worker, except the current
     // runs of tasks.
     void stop_open_starts(worker_handle& handle);
+    bool pace_repeat_due(const task& target) const;
     bool start_is_open(const task& target) const;
     int open_attempts(const task_name& name, std::int64_t run, const std::string& worker) const;
     void expire_open_starts();
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -50,10 +50,12 @@
             timeout, done);
     }
 
-    void pace(const pace_order&, milliseconds timeout,
+    void pace(const pace_order& order, milliseconds timeout,
               std::function<void(const order_result&)> done) override
     {
-        deliver([] { return make_result(order_status::accepted); }, timeout, done);
+        deliver(
+            [&fleet = fleet_, worker = worker_, order] { return fleet.handle_pace(worker, order); },
+            timeout, done);
     }
 
     void hold(const hold_order& order, milliseconds timeout,
@@ -73,8 +75,7 @@
             report.result.status = order_status::unanswered;
             done(report);
         };
-        if (found == fleet_.workers_.end() || !found->second.up ||
-            found->second.mode != worker_mode::answering) {
+        if (found == fleet_.workers_.end() || !found->second.up || !answers_holds(found->second)) {
             timers.call_after(timeout, unanswered);
             return;
         }
@@ -156,6 +157,7 @@
         }
         switch (found->second.mode) {
         case worker_mode::delayed:
+        case worker_mode::late_orders:
             timers.call_after(fleet_.late_order_delay, [action] { action(); });
             timers.call_after(timeout, unanswered);
             return;
@@ -436,6 +438,20 @@
     return result;
 }
 
+order_result fake_workers::handle_pace(const std::string& id, const pace_order& order)
+{
+    auto& worker = state(id);
+    if (fenced(worker, order.fencing_token)) {
+        return make_result(order_status::fenced);
+    }
+    const auto active = worker.active.find(order.task.to_string());
+    if (active == worker.active.end() || active->second.run != order.run) {
+        return make_result(order_status::rejected);
+    }
+    active->second.pace = order.percent;
+    return make_result(order_status::accepted);
+}
+
 void fake_workers::end(worker_state& worker, const std::string& task, end_kind kind)
 {
     const auto found = worker.active.find(task);
@@ -464,7 +480,7 @@
     worker.holds.clear();
     for (const auto& hold : waiting) {
         timers_.cancel(hold.timer);
-        if (worker.mode == worker_mode::answering) {
+        if (answers_holds(worker)) {
             hold.answer();
         }
     }
@@ -481,6 +497,8 @@
         entry.name = name;
         entry.run = run.run;
         entry.percent = timers_.now() >= run.started + startup ? 100 : 0;
+        const auto load = loads.find(name);
+        entry.load = load == loads.end() ? 0 : load->second;
         report.running.push_back(entry);
     }
     for (const auto& ended : worker.ended) {
@@ -513,6 +531,12 @@
     return !worker_of(task).empty();
 }
 
+int fake_workers::pace_of(const std::string& task) const
+{
+    const auto worker = worker_of(task);
+    return worker.empty() ? 0 : workers_.at(worker).active.at(task).pace;
+}
+
 bool fake_workers::is_at_work(const std::string& task) const
 {
     const auto worker = worker_of(task);
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -19,6 +19,7 @@
     unreachable, // orders do not arrive
     answer_lost, // orders are executed, but their answers are lost
     delayed,     // orders are executed seconds later and their answers are lost
+    late_orders, // the same, but holds are answered
 };
 
 // How the runs of a task end on the workers.
@@ -72,6 +73,8 @@
     milliseconds max_lease{10000};
     milliseconds stop_time{200}; // between a stop order and the end of the run
     milliseconds startup{0};     // of each run, at 0 percent
+    // The load that the reports state, by task name; 0 for all others.
+    std::map<std::string, double> loads;
     // What each task requests. A start that brings a worker over its capacity is a violation; a
     // capacity that has shrunk counts after `capacity_grace`.
     task_resources request_of_each_task;
@@ -95,6 +98,8 @@
     int start_count(const std::string& task) const;
     // Number of crashes of workers while the task ran on them.
     int crash_count(const std::string& task) const;
+    // Percent of full speed that the last pace order allows the task; 0 if it does not run.
+    int pace_of(const std::string& task) const;
     // Number of tasks that run on the worker.
     int running(const std::string& id) const;
     bool is_running(const std::string& task) const;
@@ -119,6 +124,7 @@
         net::timer_service::timer_id end_timer = 0;
         net::boot_time started{};
         task_resources request;
+        int pace = 100;
     };
     struct pending_hold {
         std::function<void()> answer;
@@ -148,6 +154,10 @@
     };
 
     worker_state& state(const std::string& id) { return workers_.at(id); }
+    static bool answers_holds(const worker_state& worker)
+    {
+        return worker.mode == worker_mode::answering || worker.mode == worker_mode::late_orders;
+    }
     // The time on the worker's own clock, which starts with its process.
     milliseconds clock_of(const worker_state& worker) const;
     void extend_lease(worker_state& worker, milliseconds until);
@@ -155,6 +165,7 @@
     void end_tasks_if_lease_expired(const std::string& id);
     order_result handle_start(const std::string& id, const start_order& order);
     order_result handle_stop(const std::string& id, const stop_order& order);
+    order_result handle_pace(const std::string& id, const pace_order& order);
     // Ends the active run of the task, if any, and lists its end.
     void end(worker_state& worker, const std::string& task, end_kind kind);
     // Returns the running tasks and the ends that the order has not acknowledged.
