Do not call a submission refused after an attempt with unknown outcome

A node repeats a submission or a cancellation whose forwarding got no answer. Such a caller now gets the answer for an unknown outcome and asks again.

--- a/src/jobs/request_router.cpp
+++ b/src/jobs/request_router.cpp
@@ -28,8 +28,18 @@
 constexpr auto answer_margin = 150ms;
 // A process that has failed to reach the leader for this long should get no new callers.
 constexpr auto failure_tolerance = 800ms;
+constexpr int gone = 410;
+constexpr int first_error_status = 400;
 constexpr int service_unavailable = 503;
 
+// True if the answer says that one attempt of a submission or a cancellation was refused, which
+// tells nothing about earlier attempts. A job that does not exist cannot have been cancelled.
+bool refuses_one_attempt(const std::string& method, const http::response& answer)
+{
+    const bool changes_job = method != "GET";
+    return changes_job && answer.status >= first_error_status && answer.status != gone;
+}
+
 } // namespace
 
 struct request_router::pending_request {
@@ -178,6 +188,10 @@
         retry(pending);
         return;
     }
+    if (pending->maybe_carried_out && refuses_one_attempt(pending->request.method, answer)) {
+        finish(pending, hooks_.make_outcome_unknown());
+        return;
+    }
     http::response passed;
     passed.status = answer.status;
     passed.body = answer.body;
