Hold a repeated submission as long as its earlier attempt

While the store was silent, a submission was held, and its repetition some moments later was refused as not accepted; the store then answered, and the held one was accepted and ran. The caller had been told that the job never runs.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -108,6 +108,8 @@
                 const std::function<void(submit_outcome)>& done);
     void refuse(const job_spec& spec, net::boot_time received,
                 const std::function<void(submit_outcome)>& done);
+    // True if an earlier attempt to submit the job waits for the store.
+    bool is_held(const std::string& id) const;
     void accept_held_submissions();
     void refuse_overdue_submissions();
     std::int64_t record_change(job& job);
--- a/src/jobs/engine_submissions.cpp
+++ b/src/jobs/engine_submissions.cpp
@@ -25,7 +25,8 @@
     if (!writer_->writes_failing() || jobs_.find(spec.id) != nullptr) {
         accept(std::move(spec), now, done);
     }
-    else if (writer_->unanswered_for() && *writer_->unanswered_for() < max_wait_for_store) {
+    else if (is_held(spec.id) ||
+             (writer_->unanswered_for() && *writer_->unanswered_for() < max_wait_for_store)) {
         log_event(log_level::info, "submission.held",
                   {{"job", spec.id}, {"queue", spec.queue}, {"reason", "a store answer is late"}});
         held_submissions_.push_back({std::move(spec), std::move(done), now});
@@ -37,6 +38,12 @@
     }
 }
 
+bool engine::is_held(const std::string& id) const
+{
+    return std::any_of(held_submissions_.begin(), held_submissions_.end(),
+                       [&](const held_submission& held) { return held.spec.id == id; });
+}
+
 void engine::accept(job_spec spec, net::boot_time received,
                     const std::function<void(submit_outcome)>& done)
 {
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -493,6 +493,31 @@
     EXPECT_EQ(fleet.workers.start_count(refused_id + ".0.0.0"), 0);
 }
 
+// Guards against a repeated submission that is refused while an earlier attempt is held and then
+// accepted.
+TEST(engine, repetition_of_a_held_submission_shares_its_outcome)
+{
+    test_fleet fleet;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto& store = fleet.nodes.at("a")->store();
+    store.mode = store_mode::unreachable;
+    fleet.leader()->submit(make_job(job_id, 1, 1), [](submit_outcome) {});
+    const auto repeated = make_job("00000000000000a2", 1, 1);
+    std::vector<submit_outcome> outcomes;
+    const auto record_outcome = [&outcomes](submit_outcome result) { outcomes.push_back(result); };
+    fleet.timers.run_for(store.timeout + 350ms);
+    fleet.leader()->submit(repeated, record_outcome);
+    fleet.timers.run_for(100ms);
+    fleet.leader()->submit(repeated, record_outcome);
+    EXPECT_TRUE(outcomes.empty());
+    store.mode = store_mode::serving;
+    fleet.timers.run_for(3s);
+    const std::vector<submit_outcome> both_accepted(2, submit_outcome::accepted);
+    EXPECT_EQ(outcomes, both_accepted);
+    EXPECT_EQ(fleet.workers.start_count(repeated.id + ".0.0.0"), 1);
+}
+
 // The steps of a queue with `needs_advice` run only on workers that the advisor allows.
 TEST(engine, steps_run_only_where_the_advisor_allows)
 {
