Do not give up a task for two workers that only fell silent after its start

The session now notes when a connection to the worker broke. If none did soon after the start, the loss is 'silent': it isolates the task as before, but three such losses on different VMs are needed to give it up. crashing_tasks.task_whose_silent_workers_crash_later_completes failed before.

--- a/src/decisions/crash_evidence.cpp
+++ b/src/decisions/crash_evidence.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t max_observations = 16;
 // Different VMs with a crash that no other start explains.
 constexpr std::size_t max_sole_crashes = 2;
+// The same, where it is not known of some that they followed the start at once.
+constexpr std::size_t max_possibly_sole_crashes = 3;
 // A task with as many crashes is given up if no other start explains those on two different VMs.
 constexpr std::size_t max_crashes = 4;
 constexpr std::size_t max_unexplained_places = 2;
@@ -33,9 +35,15 @@
     return observation.vm.empty() ? observation.worker : observation.vm;
 }
 
-bool just_started(std::chrono::nanoseconds start_sent, std::chrono::nanoseconds last_alive)
+bool may_have_just_started(std::chrono::nanoseconds start_sent, const worker_loss& loss)
 {
-    return last_alive - start_sent <= crash_window;
+    return loss.last_alive - start_sent <= crash_window;
+}
+
+bool had_just_started(std::chrono::nanoseconds start_sent, const worker_loss& loss)
+{
+    return may_have_just_started(start_sent, loss) && loss.ended_by &&
+           *loss.ended_by - start_sent <= crash_notice_time;
 }
 
 } // namespace
@@ -43,7 +51,8 @@
 crash_verdict judge_crashes(const std::vector<crash_observation>& observations, milliseconds now)
 {
     std::set<std::string> sole_places;
-    std::set<std::string> unexplained_places; // includes `sole_places`
+    std::set<std::string> possibly_sole_places; // includes `sole_places`
+    std::set<std::string> unexplained_places;   // includes `possibly_sole_places`
     std::size_t unexplained = 0;
     std::size_t confirmed = 0;
     std::size_t all = 0;
@@ -55,7 +64,9 @@
         }
         ++all;
         const bool sole = observation.link == crash_link::sole;
-        just_started_once = just_started_once || sole || observation.link == crash_link::shared;
+        const bool possibly_sole = sole || observation.link == crash_link::silent;
+        just_started_once =
+            just_started_once || possibly_sole || observation.link == crash_link::shared;
         late_weight += observation.link == crash_link::beside ? beside_weight : 0;
         late_weight += observation.link == crash_link::unexplained ? unexplained_weight : 0;
         if (!observation.confirmed) {
@@ -65,14 +76,19 @@
         if (sole) {
             sole_places.insert(place_of(observation));
         }
-        if (sole || observation.link == crash_link::unexplained) {
+        if (possibly_sole) {
+            possibly_sole_places.insert(place_of(observation));
+        }
+        if (possibly_sole || observation.link == crash_link::unexplained) {
             unexplained_places.insert(place_of(observation));
             ++unexplained;
         }
     }
     const bool crashes_later =
         confirmed >= max_crashes && unexplained_places.size() >= max_unexplained_places;
-    if (sole_places.size() >= max_sole_crashes || crashes_later || unexplained >= max_crashes) {
+    const bool crashes_at_once = sole_places.size() >= max_sole_crashes ||
+                                 possibly_sole_places.size() >= max_possibly_sole_crashes;
+    if (crashes_at_once || crashes_later || unexplained >= max_crashes) {
         return crash_verdict::give_up;
     }
     if (all >= max_crashes && confirmed < all) {
@@ -96,18 +112,20 @@
 }
 
 std::optional<crash_link> link_to_crash(std::chrono::nanoseconds start_sent,
-                                        std::chrono::nanoseconds last_alive,
+                                        const worker_loss& loss,
                                         const std::vector<task_on_lost_worker>& others)
 {
-    if (last_alive - start_sent >= crash_free_time) {
+    if (loss.last_alive - start_sent >= crash_free_time) {
         return std::nullopt;
     }
     const auto explains = [&](const task_on_lost_worker& other) {
-        return !other.same_job && just_started(other.start_sent, last_alive);
+        return !other.same_job && may_have_just_started(other.start_sent, loss);
     };
     const bool explained = std::any_of(others.begin(), others.end(), explains);
-    if (just_started(start_sent, last_alive)) {
-        return explained ? crash_link::shared : crash_link::sole;
+    if (may_have_just_started(start_sent, loss)) {
+        const auto alone =
+            had_just_started(start_sent, loss) ? crash_link::sole : crash_link::silent;
+        return explained ? crash_link::shared : alone;
     }
     return explained ? crash_link::beside : crash_link::unexplained;
 }
--- a/src/decisions/crash_evidence.h
+++ b/src/decisions/crash_evidence.h
@@ -14,6 +14,7 @@
     unexplained, // the task had been running for a while, and no task had just been started
     shared,      // the task had just been started, as had a task of another job
     sole,        // the task had just been started, and no task of another job had
+    silent,      // like sole, but the worker fell silent, so when it ended is not known
 };
 
 // The loss of a worker while a task was on it.
@@ -37,6 +38,8 @@
 
 // A worker that is lost within this time after the start of a task may have been crashed by it.
 constexpr std::chrono::milliseconds crash_window{200};
+// The broken connections of a worker that was lost within `crash_window` are noticed by then.
+constexpr std::chrono::milliseconds crash_notice_time{400};
 // A task that runs for this long is not the cause if its worker is lost later.
 constexpr std::chrono::milliseconds crash_free_time{5000};
 
@@ -46,8 +49,10 @@
 // there as well, while other workers crash by themselves or are cut off. A crash has several
 // suspects, so the tasks that had just been started are started again in isolation. Two crashes on
 // different VMs that no other start explains tell the task that causes them from those that shared
-// a worker with it. A task that crashes its workers only after `crash_window` is isolated for as
-// long as it runs once it has lost two or three of them so, and is given up after four or five.
+// a worker with it; it takes three if workers only fell silent after a start, as they may have ended
+// by themselves long after it. A task that crashes its workers only after `crash_window` is isolated
+// for as long as it runs once it has lost two or three of them so, and is given up after four or
+// five.
 crash_verdict judge_crashes(const std::vector<crash_observation>& observations,
                             std::chrono::milliseconds now);
 
@@ -61,11 +66,17 @@
     bool same_job = false; // as the task that is judged
 };
 
+// What is known about the time at which a lost worker ended.
+struct worker_loss {
+    std::chrono::nanoseconds last_alive{0}; // it answered for the last time
+    // Its connections broke; nothing if it only fell silent, which lost answers also explain.
+    std::optional<std::chrono::nanoseconds> ended_by;
+};
+
 // Returns how the loss of a worker is linked to the task that was started on it at `start_sent`;
-// nothing if it is not. The worker was seen alive at `last_alive` and not after. `others` are the
-// other tasks on it.
+// nothing if it is not. `others` are the other tasks on it.
 std::optional<crash_link> link_to_crash(std::chrono::nanoseconds start_sent,
-                                        std::chrono::nanoseconds last_alive,
+                                        const worker_loss& loss,
                                         const std::vector<task_on_lost_worker>& others);
 
 } // namespace jl::decisions
--- a/src/jobs/crash_ledger.cpp
+++ b/src/jobs/crash_ledger.cpp
@@ -23,13 +23,15 @@
         return "shared";
     case crash_link::sole:
         return "sole";
+    case crash_link::silent:
+        return "silent";
     }
     return "unknown";
 }
 
 bool just_started(crash_link link)
 {
-    return link == crash_link::shared || link == crash_link::sole;
+    return link == crash_link::shared || link == crash_link::sole || link == crash_link::silent;
 }
 
 bool describes(const crash_observation& observation, const worker_identity& worker)
@@ -127,15 +129,14 @@
 }
 
 void crash_ledger::observe_loss(const worker_identity& worker, const std::set<task*>& assigned,
-                                net::boot_time last_alive, bool only_just_started)
+                                const decisions::worker_loss& loss, bool only_just_started)
 {
     for (auto* const target : assigned) {
         if (!target->start_sent) {
             continue;
         }
-        const auto link =
-            decisions::link_to_crash(target->start_sent_at.time_since_epoch(),
-                                     last_alive.time_since_epoch(), others_than(*target, assigned));
+        const auto link = decisions::link_to_crash(target->start_sent_at.time_since_epoch(), loss,
+                                                   others_than(*target, assigned));
         const auto known =
             std::find_if(target->crashes.begin(), target->crashes.end(),
                          [&](const auto& observation) { return describes(observation, worker); });
@@ -153,14 +154,14 @@
 }
 
 void crash_ledger::contact_lost(const worker_identity& worker, const std::set<task*>& assigned,
-                                net::boot_time last_alive)
+                                const decisions::worker_loss& loss)
 {
     // Observations of the other tasks are weaker and not worth a write for each short silence.
-    observe_loss(worker, assigned, last_alive, true);
+    observe_loss(worker, assigned, loss, true);
 }
 
 void crash_ledger::tasks_lost(const worker_identity& worker, const std::set<task*>& lost,
-                              net::boot_time last_alive, loss_cause cause)
+                              const decisions::worker_loss& loss, loss_cause cause)
 {
     for (auto* const target : lost) {
         if (!target->start_sent) {
@@ -169,7 +170,7 @@
     }
     const bool planned = cause == loss_cause::powered_off || worker.draining;
     if (!planned) {
-        observe_loss(worker, lost, last_alive, false);
+        observe_loss(worker, lost, loss, false);
     }
     if (cause == loss_cause::lease_expired) {
         return; // the worker may answer again
--- a/src/jobs/crash_ledger.h
+++ b/src/jobs/crash_ledger.h
@@ -34,14 +34,14 @@
     // Takes note of the unconfirmed observations in a job's record.
     void load(job& loaded);
 
-    // The worker with the `assigned` tasks does not answer. It was last alive at `last_alive`.
+    // The worker with the `assigned` tasks does not answer.
     void contact_lost(const worker_identity& worker, const std::set<task*>& assigned,
-                      net::boot_time last_alive);
+                      const decisions::worker_loss& loss);
     // This incarnation of the worker has answered.
     void worker_alive(const worker_incarnation& life);
     // The leader has given up the `lost` tasks that were on the worker.
     void tasks_lost(const worker_identity& worker, const std::set<task*>& lost,
-                    net::boot_time last_alive, loss_cause cause);
+                    const decisions::worker_loss& loss, loss_cause cause);
     // A new incarnation has registered: earlier ones on its VM have ended.
     void worker_registered(const worker_registration& worker);
 
@@ -63,7 +63,7 @@
     std::chrono::milliseconds unix_now() const { return to_unix(timers_.wall_now()); }
     void add(task& target, decisions::crash_observation observation);
     void observe_loss(const worker_identity& worker, const std::set<task*>& assigned,
-                      net::boot_time last_alive, bool only_just_started);
+                      const decisions::worker_loss& loss, bool only_just_started);
     using selector = std::function<bool(const task&, const decisions::crash_observation&)>;
     // Confirms or drops the unconfirmed observations of the worker that `concerns` selects.
     void settle(const std::string& worker, bool crashed, const selector& concerns);
--- a/src/jobs/crashing_tasks_test.cpp
+++ b/src/jobs/crashing_tasks_test.cpp
@@ -251,6 +251,33 @@
     expect_no_violation(fleet);
 }
 
+// Guards against giving up an innocent task: two workers lost their answers after its start and
+// crashed by themselves more than a second later.
+TEST(crashing_tasks, task_whose_silent_workers_crash_later_completes)
+{
+    for (int silent_after_ms = 5; silent_after_ms < 100; silent_after_ms += 15) {
+        SCOPED_TRACE("silent " + std::to_string(silent_after_ms) + " ms after the start");
+        test_fleet fleet;
+        fleet.workers.default_plan.duration = 2500ms;
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        for (int crash = 0; crash < 2; ++crash) {
+            const auto worker = await_worker_of(fleet, crashing_task);
+            ASSERT_FALSE(worker.empty());
+            fleet.timers.run_for(milliseconds(silent_after_ms));
+            fleet.workers.set_mode(worker, worker_mode::unreachable);
+            fleet.timers.run_for(1400ms);
+            fleet.workers.restart(worker);
+            fleet.workers.set_mode(worker, worker_mode::answering);
+            fleet.list_worker(fleet.workers.registration(worker));
+        }
+        EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 30s));
+        EXPECT_TRUE(fleet.leader()->given_up_jobs().empty());
+        expect_no_violation(fleet);
+    }
+}
+
 // A worker that is lost under a suspect and never comes back may only be cut off, so the task is
 // not given up for it.
 TEST(crashing_tasks, task_whose_workers_never_return_is_not_given_up)
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -17,6 +17,16 @@
 // Time until the end of a stopped run has been reported, beyond the worker's stop time.
 constexpr auto stop_report_margin = std::chrono::milliseconds(200);
 
+decisions::worker_loss loss_of(const worker_session& session)
+{
+    decisions::worker_loss loss;
+    loss.last_alive = session.last_alive().time_since_epoch();
+    if (const auto ended_by = session.ended_by()) {
+        loss.ended_by = ended_by->time_since_epoch();
+    }
+    return loss;
+}
+
 } // namespace
 
 bool task_runner::in_use(const worker_session& session) const
@@ -33,7 +43,7 @@
 void task_runner::on_unreachable(worker_session& session)
 {
     if (const auto* const handle = find_worker(session.info().id)) {
-        crashes_.contact_lost(identity_of(*handle), handle->assigned, session.last_alive());
+        crashes_.contact_lost(identity_of(*handle), handle->assigned, loss_of(session));
     }
 }
 
@@ -48,7 +58,7 @@
     }
     auto ended = identity_of(*handle);
     ended.life = former;
-    crashes_.tasks_lost(ended, handle->assigned, session.last_alive(), loss_cause::restarted);
+    crashes_.tasks_lost(ended, handle->assigned, loss_of(session), loss_cause::restarted);
     // The new incarnation may execute a start without an answer, now or later. A stop order makes
     // it reject that start.
     std::set<task*> lost;
@@ -72,7 +82,7 @@
             cause != loss_cause::powered_off) {
             services_with_unseen_losses_.insert(handle->info().service);
         }
-        crashes_.tasks_lost(identity_of(*handle), handle->assigned, session.last_alive(), cause);
+        crashes_.tasks_lost(identity_of(*handle), handle->assigned, loss_of(session), cause);
         release_lost_tasks(*handle, std::set<task*>(handle->assigned), cause);
     }
 }
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -196,6 +196,7 @@
         return;
     default: {
         const auto waited = timers_.now() - requested_at;
+        record_broken_connection(requested_at, timeout);
         record_failure(to_string(report.result.status),
                        waited >= min_broken_wait && waited < timeout);
         if (*alive && !dead_) {
@@ -269,6 +270,7 @@
     if (result.status != order_status::unanswered && result.status != order_status::not_sent &&
         result.status != order_status::other_worker) {
         last_alive_ = timers_.now();
+        ended_by_.reset();
     }
     if (result.worker_clock && (!worker_clock_ || timers_.now() > worker_clock_read_at_)) {
         worker_clock_ = result.worker_clock;
@@ -288,6 +290,14 @@
     }
 }
 
+void worker_session::record_broken_connection(net::boot_time sent_at, milliseconds timeout)
+{
+    const auto now = timers_.now();
+    if (!ended_by_ && now < sent_at + timeout) {
+        ended_by_ = now;
+    }
+}
+
 void worker_session::check_lease_expiry()
 {
     timers_.cancel(lease_timer_);
@@ -321,13 +331,16 @@
 std::function<void(const order_result&)>
 worker_session::with_result_recorded(std::function<void(const order_result&)> done)
 {
-    return [this, alive = alive_, sent_at = timers_.now(),
+    return [this, alive = alive_, sent_at = timers_.now(), timeout = answer_timer_.timeout(),
             done = std::move(done)](const order_result& result) {
         if (!*alive) {
             return;
         }
         record_round_trip(result, sent_at);
         record_loss(result);
+        if (result.status == order_status::unanswered) {
+            record_broken_connection(sent_at, timeout);
+        }
         if (of_former_incarnation(result)) {
             done(order_result{}); // it says nothing about the present incarnation
             return;
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -93,6 +93,9 @@
     bool reachable() const { return failed_holds_ == 0; }
     // The last time at which the worker is known to have been alive.
     net::boot_time last_alive() const { return last_alive_; }
+    // When a connection to the worker broke since it was last alive; nothing if none did, so that
+    // the worker is only silent.
+    std::optional<net::boot_time> ended_by() const { return ended_by_; }
     // True if all tasks of previous leaders that may still run on the worker are known.
     bool resolved() const;
     // Upper bound on the time at which the lease of all tasks on the worker ends.
@@ -128,6 +131,8 @@
     void record_round_trip(const order_result& result, net::boot_time sent_at);
     void record_loss(const order_result& result);
     void record_failure(const char* reason, bool connection_lost_during_wait);
+    // Notes a call without an answer that failed before its timeout.
+    void record_broken_connection(net::boot_time sent_at, milliseconds timeout);
     void check_lease_expiry();
     // Extends `lease_bound_` by the next lease and returns that lease's end on the worker's clock.
     std::optional<milliseconds> extend_lease();
@@ -154,6 +159,7 @@
     bool dead_ = false;
     int failed_holds_ = 0; // consecutive ones
     net::boot_time last_alive_{};
+    std::optional<net::boot_time> ended_by_;
     std::int64_t acknowledged_ = 0;
     std::int64_t last_reported_end_ = 0;
     bool hold_in_flight_ = false;
