Do not release a VM because only the repetition of its order was rejected

A move or maintenance order got no answer, its repetition was rejected, and the VM was released and got new tasks; the first attempt was then carried out and ended them. The cause is that of: vm_order took the rejection of one attempt for the outcome of the order.

--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -305,6 +305,28 @@
     EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
 }
 
+// Guards against tasks on a VM that is still to be moved: an order without an answer was repeated,
+// the repetition was rejected, and the first attempt was carried out afterwards.
+TEST_F(fleet_changes, no_task_starts_on_a_vm_after_only_a_repeated_order_was_rejected)
+{
+    fleet.vms.order_delay = 5s;
+    fleet.vms.order_timeout = 500ms;
+    fleet.workers.default_plan.duration = 900ms;
+    add_vms(10, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(1800ms); // orders to move surplus VMs out are sent
+    fleet.vms.refusal = vm_order_status::rejected;
+    for (int number = 0; number < 100; ++number) {
+        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
+                               [](submit_outcome) {});
+        fleet.timers.run_for(50ms);
+    }
+    fleet.timers.run_for(5s);
+    EXPECT_GT(fleet.vms.move_count(), 0);
+    EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
+}
+
 // A maintenance order for a VM that the wave has already maintained has no effect, and the VM keeps
 // its worker. Guards against never starting tasks on that worker again.
 TEST_F(fleet_changes, workers_get_tasks_after_a_repeated_maintenance_order)
--- a/src/jobs/testing/fake_vms.cpp
+++ b/src/jobs/testing/fake_vms.cpp
@@ -15,7 +15,7 @@
 constexpr auto maintenance_time = 2000ms;
 // Minimum time between orders of two different leaders to one VM.
 constexpr auto order_interval = 3000ms;
-constexpr auto throttle_delay = 5ms;
+constexpr auto refusal_delay = 5ms;
 
 } // namespace
 
@@ -112,8 +112,10 @@
 
 void fake_vms::submit_order(const order_answer& answer, const std::function<void()>& execute)
 {
-    if (pending_orders_ >= max_pending_orders) {
-        timers_.call_after(throttle_delay, [answer] { answer(vm_order_status::throttled); });
+    const bool throttled = pending_orders_ >= max_pending_orders;
+    if (refusal || throttled) {
+        const auto status = refusal.value_or(vm_order_status::throttled);
+        timers_.call_after(refusal_delay, [answer, status] { answer(status); });
         return;
     }
     ++pending_orders_;
--- a/src/jobs/testing/fake_vms.h
+++ b/src/jobs/testing/fake_vms.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -37,6 +38,8 @@
     milliseconds order_timeout{10000};
     // Further orders are throttled while this many wait for execution.
     int max_pending_orders = 1000;
+    // If set, further orders get this answer at once and are not executed.
+    std::optional<vm_order_status> refusal;
     // VMs that the list contains without the name of their worker.
     std::set<std::string> vms_without_worker_name;
     // VMs that are missing from the list.
@@ -67,7 +70,7 @@
     // Returns a function that passes only its first call on to `done`. It reports `unanswered`
     // itself after `order_timeout`.
     order_answer report_once(order_answer done);
-    // Schedules the execution of an order, or throttles it.
+    // Schedules the execution of an order, or refuses it.
     void submit_order(const order_answer& answer, const std::function<void()>& execute);
     void execute_move(const std::string& vm, const std::string& pool, std::int64_t token,
                       const order_answer& done);
--- a/src/jobs/vm_order.h
+++ b/src/jobs/vm_order.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "jobs/ports.h"
 #include "net/timer_service.h"
 
@@ -24,6 +26,8 @@
     outcome on_answered(vm_order_status status, net::boot_time now);
     // True if the outcome is still unknown after the last attempt and the next attempt is due.
     bool repeat_due(net::boot_time now) const;
+    // True if an attempt without an answer may still be executed, even if the outcome is known.
+    bool may_execute_late(net::boot_time now) const;
 
     bool ever_sent() const { return ever_sent_; }
     bool settled() const { return ever_sent_ && !in_flight_ && !uncertain_; }
@@ -36,6 +40,7 @@
     bool ever_sent_ = false;
     bool in_flight_ = false;
     bool uncertain_ = false; // an attempt without an answer may have been executed
+    std::optional<net::boot_time> unanswered_sent_at_; // the last attempt without an answer
     net::boot_time sent_or_executed_at_{};
     net::boot_time answered_at_{};
     worker_incarnation former_worker_;
