Plan no move of a VM while an attempt of its former move may be carried out

A move got no answer, its repetition was accepted, and the VM was moved back when demand returned; then the first attempt was carried out, took the VM out of its pool again and ended all its tasks.

A VM is now not movable until late_execution_limit after the last attempt of its former move that got no answer. Until then the attempt names the pool that the VM is in, and has no effect. Maintenance needs no such wait: the VM returns to the same pool, and a wave maintains a VM once.

fleet_changes.late_move_does_not_undo_the_next_move_of_its_vm failed before (48 tasks ended).

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -123,6 +123,7 @@
         }
         if (arrived || timed_out || directory_.left_fleet(next->first, move.planned_at)) {
             reservations_.release(next->first, reservation_purpose::move);
+            finished_orders_[next->first] = move.order;
             next = moves_.erase(next);
         }
         else {
@@ -241,6 +242,10 @@
     if (refused != backoff_until_.end() && timers_.now() < refused->second) {
         return false;
     }
+    const auto finished = finished_orders_.find(vm.vm);
+    if (finished != finished_orders_.end() && finished->second.may_execute_late(timers_.now())) {
+        return false;
+    }
     const auto* const handle = directory_.worker_on_vm(vm.vm);
     return handle == nullptr || !handle->registered || handle->session->dead()
                ? directory_.has_no_tasks(vm.vm)
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -94,6 +94,9 @@
     std::map<std::string, int> logged_sizes_;                                        // by pool
     task_resources vm_capacity_;                          // largest of any VM, by resource
     std::map<std::string, net::boot_time> backoff_until_; // by VM
+    // The last finished move of each VM. An attempt of it without an answer may still be executed
+    // and would undo the next move.
+    std::map<std::string, vm_order> finished_orders_;
 };
 
 } // namespace jl::jobs
