Make the writes of a wave's status conditional on its record

A write of a wave's status that got no answer could be executed after later ones: a wave whose status was "completed" was "running" again, for good, and its progress record lost the VMs that had been maintained. The write depended only on the leader key.

It now depends on the revision of the progress record, which each such write changes. A late write is therefore refused; if it comes first, the next write is refused, takes over the revision and is repeated.

fleet_changes.late_write_does_not_replace_the_status_of_a_completed_wave failed before.

--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -281,6 +281,27 @@
     }
 }
 
+// Guards against a write of a wave's status that got no answer and replaces the status that was
+// written after it: a completed wave was said to be running.
+TEST_F(fleet_changes, late_write_does_not_replace_the_status_of_a_completed_wave)
+{
+    add_vms(3, 0);
+    auto& node = fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    fleet.request_wave(wave_of(3, 3));
+    fleet.timers.run_for(10ms); // the leader learns of the wave
+    ASSERT_EQ(fleet.store.find("status/1"), nullptr);
+    node.store().mode = store_mode::answer_lost;
+    node.store().lost_answer_delay = 8s;
+    fleet.timers.run_for(200ms); // the status is written for the first time
+    node.store().mode = store_mode::serving;
+    fleet.timers.run_for(6s);
+    expect_wave_completed(3);
+    fleet.timers.run_for(6s);
+    expect_wave_completed(3);
+}
+
 // Guards against new tasks on a VM whose order is in progress: an order without an answer was
 // repeated, the second attempt was throttled, and the VM got new tasks although the first attempt
 // was still being executed. Here the platform executes few orders at a time and takes longer than
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -47,6 +47,7 @@
 
 void wave_manager::load(const store_item& item)
 {
+    record_revisions_[item.key] = item.revision;
     const auto document = nlohmann::json::parse(item.value, nullptr, false);
     if (!document.is_object()) {
         log_event(log_level::error, "wave.record_unreadable", {{"key", item.key}});
@@ -278,21 +279,39 @@
     const auto number = wave.request.wave;
     const bool completed = wave.completed;
     const auto progress = encode_progress(wave);
+    const auto record_key = record_prefix + std::to_string(number);
     store_transaction transaction;
-    transaction.conditions = {{leadership::leader_key, leader_.token}};
+    transaction.conditions = {{leadership::leader_key, leader_.token},
+                              {record_key, record_revisions_[record_key]}};
     transaction.writes = {
         {documents_.wave_status_key(number), documents_.encode_wave_status(completed), 0},
-        {record_prefix + std::to_string(number), progress, 0}};
-    store_.commit(transaction, [this, number, completed, progress,
+        {record_key, progress, 0}};
+    store_.commit(transaction, [this, number, record_key, completed, progress,
                                 alive = alive_](const store_result<commit_outcome>& result) {
         if (!*alive) {
             return;
         }
         auto& wave = waves_[number];
         wave.writing = false;
-        wave.status_written = result.value && result.value->committed &&
-                              wave.completed == completed && encode_progress(wave) == progress;
+        const bool executed = result.value && on_status_written(record_key, *result.value);
+        wave.status_written =
+            executed && wave.completed == completed && encode_progress(wave) == progress;
     });
 }
 
+bool wave_manager::on_status_written(const std::string& record_key, const commit_outcome& outcome)
+{
+    if (outcome.committed) {
+        record_revisions_[record_key] = outcome.revision;
+        return true;
+    }
+    // An earlier write that got no answer may have changed the record.
+    for (const auto& item : outcome.current) {
+        if (item.key == record_key) {
+            record_revisions_[record_key] = item.revision;
+        }
+    }
+    return false;
+}
+
 } // namespace jl::jobs
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -65,7 +65,11 @@
     void order_maintenance(wave_progress& wave, const std::string& vm);
     void on_answer(wave_progress& wave, const std::string& vm, vm_order_status status);
     void drain_worker(worker_handle& handle, net::boot_time since);
+    // Writes the status and the progress record. The write is conditional on the record being
+    // unchanged, so that a write without an answer never replaces a later one.
     void write_status(wave_progress& wave);
+    // A write of the wave's status and record was answered. Returns true if it was executed.
+    bool on_status_written(const std::string& record_key, const commit_outcome& outcome);
     std::string encode_progress(const wave_progress& wave) const;
 
     net::timer_service& timers_;
@@ -84,6 +88,7 @@
 
     std::map<std::int64_t, wave_progress> waves_;
     std::map<std::int64_t, std::vector<std::string>> finished_by_previous_leaders_; // VMs, by wave
+    std::map<std::string, std::int64_t> record_revisions_; // of progress records, by key
 };
 
 } // namespace jl::jobs
