Take no unchanged record for an executed write

A record could be reported durable, and an older write could then replace it: two writes got no answer, the second had the content that the store held already, and a transaction with it was refused because of another record. The content matched the second write, which was taken for executed; the first one, still conditional on the present revision, was executed later. The roster writes such content when a worker's entry changes back.

Only a record whose revision has changed is compared with the unanswered write. An unchanged one is written again, which also makes the conditions of all earlier writes fail.

record_writer_test.unchanged_record_is_not_taken_for_an_executed_write failed before.

--- a/src/jobs/record_writer.cpp
+++ b/src/jobs/record_writer.cpp
@@ -216,8 +216,9 @@
     callbacks_.batch_done();
 }
 
-// If the store holds just what an unanswered write contained, that version is durable. A later one
-// is still to be written.
+// If the record has changed and the store holds just what an unanswered write contained, that
+// version is durable. A later one is still to be written. While the record is unchanged, each
+// unanswered write of it may still be executed.
 bool record_writer::adopt_current(const written_record& refused, const store_item* current)
 {
     const auto& key = refused.key;
@@ -226,9 +227,10 @@
         dirty_keys_.insert(key);
         return true;
     }
-    revisions_[key] = current->revision;
+    const bool written_since =
+        std::exchange(revisions_[key], current->revision) != current->revision;
     const auto found = unconfirmed_.find(key);
-    if (found == unconfirmed_.end() || found->second.removed ||
+    if (!written_since || found == unconfirmed_.end() || found->second.removed ||
         found->second.value != current->value) {
         dirty_keys_.insert(key);
         return true;
--- a/src/jobs/record_writer_test.cpp
+++ b/src/jobs/record_writer_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -26,8 +27,17 @@
     {
         ++commits;
         store_result<commit_outcome> result;
+        if (delay_commits > 0) {
+            --delay_commits;
+            delayed.push_back(transaction);
+            result.error = store_error::outcome_unknown;
+            done(result);
+            return;
+        }
+        const bool refused = refuse_commits > 0;
+        refuse_commits -= refused ? 1 : 0;
         result.value.emplace();
-        result.value->committed = execute(transaction);
+        result.value->committed = !refused && execute(transaction);
         if (result.value->committed) {
             result.value->revision = item.revision;
             if (lose_answers > 0) {
@@ -49,10 +59,12 @@
     void end_lease(std::int64_t, std::function<void()>) override {}
 
     int commits = 0;
-    int lose_answers = 0; // of the next commits, which are executed
+    int lose_answers = 0;   // of the next commits, which are executed
+    int delay_commits = 0;  // the next commits get no answer and wait in `delayed`
+    int refuse_commits = 0; // the next commits fail because of another record
+    std::vector<store_transaction> delayed;
     store_item item{record_key, "", 0};
 
-private:
     bool execute(const store_transaction& transaction)
     {
         for (const auto& condition : transaction.conditions) {
@@ -72,7 +84,8 @@
     {
         record_writer::callbacks callbacks;
         callbacks.encode = [this](const std::string&) {
-            return record_writer::record{"content " + std::to_string(version), version, false};
+            return record_writer::record{content.value_or("content " + std::to_string(version)),
+                                         version, false};
         };
         callbacks.durable = [this](const std::string&, std::int64_t stored) {
             durable_version = stored;
@@ -93,6 +106,7 @@
     virtual_timers timers;
     lossy_store store;
     std::int64_t version = 0;
+    std::optional<std::string> content; // of each version from now on
     std::int64_t durable_version = 0;
     bool fenced = false;
     std::optional<record_writer> writer;
@@ -140,5 +154,26 @@
     EXPECT_EQ(store.item.value, "content 1");
 }
 
+// Guards against a write that is executed late and replaces content that was reported durable: that
+// content equals the one before the write, so the store held it without having executed anything.
+TEST_F(record_writer_test, unchanged_record_is_not_taken_for_an_executed_write)
+{
+    store.item = {record_key, "content 1", 5};
+    writer->set_revision(record_key, 5);
+    store.delay_commits = 2;
+    write_version(2);
+    timers.run_for(1ms);
+    content = "content 1";
+    write_version(3);
+    store.refuse_commits = 1;
+    timers.run_for(100ms);
+    ASSERT_EQ(store.delayed.size(), 2U);
+    EXPECT_EQ(durable_version, 3);
+    for (const auto& late : store.delayed) {
+        store.execute(late);
+    }
+    EXPECT_EQ(store.item.value, "content 1");
+}
+
 } // namespace
 } // namespace jl::jobs
