Do not depose a leader because of a listing from before its election

A node that read the election records while it campaigned, for example because a caller's request made it refresh them, could get the listing after its claim had been accepted. The listing had no leader key yet, so the new leader stepped down, and the fleet had no leader until the next election.

A listing that the store read at a revision below the leader's token is now read again.

leadership.listing_from_before_the_election_does_not_depose_the_leader failed before.

--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -109,6 +109,11 @@
         schedule_read(read_retry_delay);
         return;
     }
+    if (leading_ && result.value->at < leader_->token) {
+        // The store read this listing before it elected this process.
+        schedule_read(read_retry_delay);
+        return;
+    }
     std::optional<leader_record> seen;
     term_ = 0;
     term_revision_ = 0;
