Take a maintained VM for back only if the list shows more than its former state

The list of VMs lags. A list that was requested after an order was accepted could still show the VM up, as it was before; the wave took that for its return and ordered the next VM, so more VMs were in maintenance than the wave allows.

A VM counts as back once a list has shown it down since its order, or a list that is too recent to show its former state shows it up. The latter is needed for an order that had no effect, because an earlier leader had maintained the VM in the same wave.

fleet_changes.wave_keeps_its_limit_while_the_list_lags failed before (2 in maintenance, 1 allowed).

--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -234,6 +234,21 @@
     EXPECT_EQ(fleet.vms.completed_maintenances(), 6);
 }
 
+// Guards against a list from before an order that is taken for the return of the VM: the next VM of
+// the wave was ordered while the first one was still in maintenance.
+TEST_F(fleet_changes, wave_keeps_its_limit_while_the_list_lags)
+{
+    fleet.vms.list_lag = 1200ms;
+    add_vms(4, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(2s);
+    fleet.request_wave(wave_of(4, 1));
+    fleet.timers.run_for(30s);
+    expect_wave_completed(4);
+    EXPECT_EQ(fleet.vms.most_in_maintenance(), 1);
+}
+
 // A worker whose registration has expired, for example because the store loses writes, still runs
 // its tasks. Guards against considering its VM drained, which stopped several tasks of one step at
 // once.
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -17,6 +17,8 @@
 // Time for the pool to get another VM before a long-running task is stopped that no other worker
 // has capacity for.
 constexpr auto relocation_timeout = 4000ms;
+// Longer than the list of VMs lags.
+constexpr auto max_list_lag = 3500ms;
 
 } // namespace
 
@@ -109,11 +111,12 @@
 {
     bool all_finished = true;
     for (auto& [name, vm] : wave.vms) {
-        const auto* const listed = directory_.find(name);
-        if (vm.phase == wave_phase::ordered && vm.order.settled() &&
-            directory_.listed_at() > vm.order.sent_or_executed_at() && listed != nullptr &&
-            listed->state == vm_state::up) {
-            finish_vm(wave, name);
+        if (vm.phase == wave_phase::ordered) {
+            const auto* const listed = directory_.find(name);
+            vm.seen_down |= listed != nullptr && listed->state != vm_state::up;
+            if (has_returned(name, vm)) {
+                finish_vm(wave, name);
+            }
         }
         if (vm.phase != wave_phase::finished && directory_.left_fleet(name, wave.known_since)) {
             log_event(log_level::info, "wave.vm_gone",
@@ -129,6 +132,18 @@
     }
 }
 
+bool wave_manager::has_returned(const std::string& name, const wave_vm& vm) const
+{
+    const auto* const listed = directory_.find(name);
+    if (listed == nullptr || listed->state != vm_state::up || !vm.order.settled()) {
+        return false;
+    }
+    // An order for a VM that the wave has maintained already is accepted and has no effect.
+    const auto earliest = vm.order.sent_or_executed_at() +
+                          (vm.seen_down ? milliseconds(0) : milliseconds(max_list_lag));
+    return directory_.listed_at() > earliest;
+}
+
 void wave_manager::finish_vm(wave_progress& wave, const std::string& name)
 {
     wave.vms[name].phase = wave_phase::finished;
@@ -255,6 +270,7 @@
         }
         vm.phase = wave_phase::draining;
         vm.order = {};
+        vm.seen_down = false;
         return;
     }
 }
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -47,6 +47,7 @@
         wave_phase phase = wave_phase::waiting;
         net::boot_time draining_since{};
         vm_order order;
+        bool seen_down = false; // the list of VMs has shown it down since it was ordered
     };
     struct wave_progress {
         wave_request request;
@@ -59,6 +60,9 @@
 
     void step_wave(wave_progress& wave);
     void update_wave(wave_progress& wave);
+    // True if the VM is up again after its order. The list of VMs lags, so it may show the VM as it
+    // was before.
+    bool has_returned(const std::string& name, const wave_vm& vm) const;
     void finish_vm(wave_progress& wave, const std::string& name);
     void drain_vms(wave_progress& wave);
     void order_drained(wave_progress& wave);
