--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -234,6 +234,21 @@
     EXPECT_EQ(fleet.vms.completed_maintenances(), 6);
 }
 
+// Guards against a list from before an order that is taken for the return of the VM: the next VM of
+// the wave was ordered while the first one was still in maintenance.
+TEST_F(fleet_changes, wave_keeps_its_limit_while_the_list_lags)
+{
+    fleet.vms.list_lag = 1200ms;
+    add_vms(4, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(2s);
+    fleet.request_wave(wave_of(4, 1));
+    fleet.timers.run_for(30s);
+    expect_wave_completed(4);
+    EXPECT_EQ(fleet.vms.most_in_maintenance(), 1);
+}
+
 // A worker whose registration has expired, for example because the store loses writes, still runs
 // its tasks. Guards against considering its VM drained, which stopped several tasks of one step at
 // once.
@@ -281,6 +296,27 @@
     }
 }
 
+// Guards against a write of a wave's status that got no answer and replaces the status that was
+// written after it: a completed wave was said to be running.
+TEST_F(fleet_changes, late_write_does_not_replace_the_status_of_a_completed_wave)
+{
+    add_vms(3, 0);
+    auto& node = fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    fleet.request_wave(wave_of(3, 3));
+    fleet.timers.run_for(10ms); // the leader learns of the wave
+    ASSERT_EQ(fleet.store.find("status/1"), nullptr);
+    node.store().mode = store_mode::answer_lost;
+    node.store().lost_answer_delay = 8s;
+    fleet.timers.run_for(200ms); // the status is written for the first time
+    node.store().mode = store_mode::serving;
+    fleet.timers.run_for(6s);
+    expect_wave_completed(3);
+    fleet.timers.run_for(6s);
+    expect_wave_completed(3);
+}
+
 // Guards against new tasks on a VM whose order is in progress: an order without an answer was
 // repeated, the second attempt was throttled, and the VM got new tasks although the first attempt
 // was still being executed. Here the platform executes few orders at a time and takes longer than
@@ -305,6 +341,51 @@
     EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
 }
 
+// Guards against tasks on a VM that is still to be moved: an order without an answer was repeated,
+// the repetition was rejected, and the first attempt was carried out afterwards.
+TEST_F(fleet_changes, no_task_starts_on_a_vm_after_only_a_repeated_order_was_rejected)
+{
+    fleet.vms.order_delay = 5s;
+    fleet.vms.order_timeout = 500ms;
+    fleet.workers.default_plan.duration = 900ms;
+    add_vms(10, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(1800ms); // orders to move surplus VMs out are sent
+    fleet.vms.refusal = vm_order_status::rejected;
+    for (int number = 0; number < 100; ++number) {
+        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
+                               [](submit_outcome) {});
+        fleet.timers.run_for(50ms);
+    }
+    fleet.timers.run_for(5s);
+    EXPECT_GT(fleet.vms.move_count(), 0);
+    EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
+}
+
+// Guards against a move that is carried out late and takes a VM out of the pool that it has been
+// moved back to: the repetition of the move was accepted while the first attempt had no answer.
+TEST_F(fleet_changes, late_move_does_not_undo_the_next_move_of_its_vm)
+{
+    fleet.vms.order_delay = 6s;
+    fleet.vms.order_timeout = 500ms;
+    fleet.workers.default_plan.duration = 900ms;
+    add_vms(10, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(1800ms); // orders to move surplus VMs out are sent
+    fleet.vms.order_delay = 5ms;
+    fleet.timers.run_for(1s); // their repetitions are accepted
+    ASSERT_LE(fleet.vms.vms_in("rounds"), 3);
+    for (int number = 0; number < 120; ++number) {
+        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
+                               [](submit_outcome) {});
+        fleet.timers.run_for(200ms);
+    }
+    EXPECT_GE(fleet.vms.vms_in("rounds"), 5);
+    EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
+}
+
 // A maintenance order for a VM that the wave has already maintained has no effect, and the VM keeps
 // its worker. Guards against never starting tasks on that worker again.
 TEST_F(fleet_changes, workers_get_tasks_after_a_repeated_maintenance_order)
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -17,6 +17,8 @@
 // Time for the pool to get another VM before a long-running task is stopped that no other worker
 // has capacity for.
 constexpr auto relocation_timeout = 4000ms;
+// Longer than the list of VMs lags.
+constexpr auto max_list_lag = 3500ms;
 
 } // namespace
 
@@ -47,6 +49,7 @@
 
 void wave_manager::load(const store_item& item)
 {
+    record_revisions_[item.key] = item.revision;
     const auto document = nlohmann::json::parse(item.value, nullptr, false);
     if (!document.is_object()) {
         log_event(log_level::error, "wave.record_unreadable", {{"key", item.key}});
@@ -108,11 +111,12 @@
 {
     bool all_finished = true;
     for (auto& [name, vm] : wave.vms) {
-        const auto* const listed = directory_.find(name);
-        if (vm.phase == wave_phase::ordered && vm.order.settled() &&
-            directory_.listed_at() > vm.order.sent_or_executed_at() && listed != nullptr &&
-            listed->state == vm_state::up) {
-            finish_vm(wave, name);
+        if (vm.phase == wave_phase::ordered) {
+            const auto* const listed = directory_.find(name);
+            vm.seen_down |= listed != nullptr && listed->state != vm_state::up;
+            if (has_returned(name, vm)) {
+                finish_vm(wave, name);
+            }
         }
         if (vm.phase != wave_phase::finished && directory_.left_fleet(name, wave.known_since)) {
             log_event(log_level::info, "wave.vm_gone",
@@ -128,6 +132,18 @@
     }
 }
 
+bool wave_manager::has_returned(const std::string& name, const wave_vm& vm) const
+{
+    const auto* const listed = directory_.find(name);
+    if (listed == nullptr || listed->state != vm_state::up || !vm.order.settled()) {
+        return false;
+    }
+    // An order for a VM that the wave has maintained already is accepted and has no effect.
+    const auto earliest = vm.order.sent_or_executed_at() +
+                          (vm.seen_down ? milliseconds(0) : milliseconds(max_list_lag));
+    return directory_.listed_at() > earliest;
+}
+
 void wave_manager::finish_vm(wave_progress& wave, const std::string& name)
 {
     wave.vms[name].phase = wave_phase::finished;
@@ -254,6 +270,7 @@
         }
         vm.phase = wave_phase::draining;
         vm.order = {};
+        vm.seen_down = false;
         return;
     }
 }
@@ -278,21 +295,39 @@
     const auto number = wave.request.wave;
     const bool completed = wave.completed;
     const auto progress = encode_progress(wave);
+    const auto record_key = record_prefix + std::to_string(number);
     store_transaction transaction;
-    transaction.conditions = {{leadership::leader_key, leader_.token}};
+    transaction.conditions = {{leadership::leader_key, leader_.token},
+                              {record_key, record_revisions_[record_key]}};
     transaction.writes = {
         {documents_.wave_status_key(number), documents_.encode_wave_status(completed), 0},
-        {record_prefix + std::to_string(number), progress, 0}};
-    store_.commit(transaction, [this, number, completed, progress,
+        {record_key, progress, 0}};
+    store_.commit(transaction, [this, number, record_key, completed, progress,
                                 alive = alive_](const store_result<commit_outcome>& result) {
         if (!*alive) {
             return;
         }
         auto& wave = waves_[number];
         wave.writing = false;
-        wave.status_written = result.value && result.value->committed &&
-                              wave.completed == completed && encode_progress(wave) == progress;
+        const bool executed = result.value && on_status_written(record_key, *result.value);
+        wave.status_written =
+            executed && wave.completed == completed && encode_progress(wave) == progress;
     });
 }
 
+bool wave_manager::on_status_written(const std::string& record_key, const commit_outcome& outcome)
+{
+    if (outcome.committed) {
+        record_revisions_[record_key] = outcome.revision;
+        return true;
+    }
+    // An earlier write that got no answer may have changed the record.
+    for (const auto& item : outcome.current) {
+        if (item.key == record_key) {
+            record_revisions_[record_key] = item.revision;
+        }
+    }
+    return false;
+}
+
 } // namespace jl::jobs
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -47,6 +47,7 @@
         wave_phase phase = wave_phase::waiting;
         net::boot_time draining_since{};
         vm_order order;
+        bool seen_down = false; // the list of VMs has shown it down since it was ordered
     };
     struct wave_progress {
         wave_request request;
@@ -59,13 +60,20 @@
 
     void step_wave(wave_progress& wave);
     void update_wave(wave_progress& wave);
+    // True if the VM is up again after its order. The list of VMs lags, so it may show the VM as it
+    // was before.
+    bool has_returned(const std::string& name, const wave_vm& vm) const;
     void finish_vm(wave_progress& wave, const std::string& name);
     void drain_vms(wave_progress& wave);
     void order_drained(wave_progress& wave);
     void order_maintenance(wave_progress& wave, const std::string& vm);
     void on_answer(wave_progress& wave, const std::string& vm, vm_order_status status);
     void drain_worker(worker_handle& handle, net::boot_time since);
+    // Writes the status and the progress record. The write is conditional on the record being
+    // unchanged, so that a write without an answer never replaces a later one.
     void write_status(wave_progress& wave);
+    // A write of the wave's status and record was answered. Returns true if it was executed.
+    bool on_status_written(const std::string& record_key, const commit_outcome& outcome);
     std::string encode_progress(const wave_progress& wave) const;
 
     net::timer_service& timers_;
@@ -84,6 +92,7 @@
 
     std::map<std::int64_t, wave_progress> waves_;
     std::map<std::int64_t, std::vector<std::string>> finished_by_previous_leaders_; // VMs, by wave
+    std::map<std::string, std::int64_t> record_revisions_; // of progress records, by key
 };
 
 } // namespace jl::jobs
