Reject documents that are nested beyond a limit

A document with 100,000 nested lists ended the process that decoded it, by an overflow of the stack: a submission with such a list in `after` ended the leader, and each next leader that got the repetition; an answer of a worker, of the list of VMs or of the store, a configuration and our own records (also in CBOR) did the same. The library parses JSON without recursion, but copies it recursively, and value() copies. It parses CBOR recursively.

All of them now go through parse_json_object() and parse_cbor(), which check the nesting first, so that such a document costs no memory either, and lists are read by reference. A record of a wave whose number has another type no longer throws.

--- /dev/null
+++ b/src/base/json.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace jl {
+
+// Deepest nesting of lists and objects in a document from outside the process. Copies and output of
+// a JSON value are recursive, so a deeper one could overflow the stack.
+constexpr std::size_t max_json_depth = 32;
+
+// Parses a document that any other process may have written. Returns nothing if it is not a JSON
+// object or nested beyond max_json_depth.
+std::optional<nlohmann::json> parse_json_object(std::string_view text);
+
+// The same for CBOR. Returns nothing if `bytes` are not one value of any type within the limit.
+std::optional<nlohmann::json> parse_cbor(std::string_view bytes);
+
+// Returns the list under `key`, or an empty one if the field is missing or has another type.
+const nlohmann::json& list_or_empty(const nlohmann::json& object, const char* key);
+
+} // namespace jl
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json.h"
+
 namespace jl::jobs {
 
 namespace {
@@ -165,11 +167,6 @@
     return {bytes.begin(), bytes.end()};
 }
 
-json from_bytes(const std::string& bytes)
-{
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
-}
-
 } // namespace
 
 std::string encode_job(const job& source)
@@ -197,10 +194,11 @@
 bool decode_job(const std::string& value, job& target)
 {
     try {
-        const auto document = from_bytes(value);
-        if (!document.is_object()) {
+        const auto parsed = parse_cbor(value);
+        if (!parsed || !parsed->is_object()) {
             return false;
         }
+        const auto& document = *parsed;
         target.spec.queue = document.at("q").get<std::string>();
         target.state = static_cast<job_state>(document.at("s").get<int>());
         target.accepted = from_unix(milliseconds(document.at("a").get<std::int64_t>()));
@@ -246,12 +244,12 @@
 std::optional<std::vector<roster_entry>> decode_roster(const std::string& value)
 {
     try {
-        const auto rows = from_bytes(value);
-        if (!rows.is_array()) {
+        const auto rows = parse_cbor(value);
+        if (!rows || !rows->is_array()) {
             return std::nullopt;
         }
         std::vector<roster_entry> roster;
-        for (const auto& row : rows) {
+        for (const auto& row : *rows) {
             const auto address = parse_endpoint(row.at(2).get<std::string>());
             if (!address) {
                 return std::nullopt;
--- a/src/jobs/vm_order_log.cpp
+++ b/src/jobs/vm_order_log.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json.h"
 #include "base/log.h"
 
 namespace jl::jobs {
@@ -38,15 +39,15 @@
 
 void vm_order_log::load(const store_item& item)
 {
-    const auto document = nlohmann::json::parse(item.value, nullptr, false);
-    if (!document.is_object()) {
+    const auto document = parse_json_object(item.value);
+    if (!document) {
         log_event(log_level::error, "vm_orders.record_unreadable", {{"key", item.key}});
         previous_record_unreadable_ = true;
         return;
     }
     // The record may have been written long before the change of leaders, so the true ages are the
     // stated ones or higher.
-    for (const auto& [vm, age] : document.items()) {
+    for (const auto& [vm, age] : document->items()) {
         const milliseconds at_least(age.is_number_integer() ? age.get<std::int64_t>() : 0);
         held_until_[vm] = last_hold_end() - std::max(at_least, milliseconds(0));
     }
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json.h"
 #include "base/log.h"
 #include "jobs/availability.h"
 
@@ -47,15 +48,19 @@
 
 void wave_manager::load(const store_item& item)
 {
-    const auto document = nlohmann::json::parse(item.value, nullptr, false);
-    if (!document.is_object()) {
+    const auto document = parse_json_object(item.value);
+    if (!document) {
         log_event(log_level::error, "wave.record_unreadable", {{"key", item.key}});
         return;
     }
-    for (const auto& vm : document.value("finished", nlohmann::json::array())) {
+    const auto wave = document->find("wave");
+    if (wave == document->end() || !wave->is_number_integer()) {
+        return;
+    }
+    auto& finished = finished_by_previous_leaders_[wave->get<std::int64_t>()];
+    for (const auto& vm : list_or_empty(*document, "finished")) {
         if (vm.is_string()) {
-            finished_by_previous_leaders_[document.value("wave", std::int64_t{0})].push_back(
-                vm.get<std::string>());
+            finished.push_back(vm.get<std::string>());
         }
     }
 }
--- a/src/jobs/worker_roster_test.cpp
+++ b/src/jobs/worker_roster_test.cpp
@@ -77,5 +77,14 @@
     EXPECT_EQ(next.size(), 98U);
 }
 
+// Guards against a deeply nested record that overflows the stack of each leader that loads it.
+TEST_F(worker_roster_test, deeply_nested_record_is_rejected)
+{
+    store_item item;
+    item.key = std::string(worker_roster::prefix) + "0";
+    item.value = std::string(1000000, '\x81') + '\x01';
+    EXPECT_TRUE(roster.load(item).empty());
+}
+
 } // namespace
 } // namespace jl::jobs
