Reject a leader's record with fields of another type

decode_leader() threw for an address, node or term of another type, which ends each process that reads the record, leader or not. Another version of the program could write one. Such a record now counts as unreadable.

Failed before: leadership.leader_record_with_fields_of_another_type_is_rejected, by an exception.

--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json.h"
 #include "base/log.h"
 
 namespace jl::jobs {
@@ -30,16 +31,21 @@
 
 std::optional<leader_record> decode_leader(const store_item& item)
 {
-    const auto document = nlohmann::json::parse(item.value, nullptr, false);
-    if (document.is_discarded() || !document.is_object()) {
+    const auto document = parse_json_object(item.value);
+    if (!document) {
         return std::nullopt;
     }
-    const auto address = parse_endpoint(document.value("address", ""));
-    if (!address) {
+    try {
+        const auto address = parse_endpoint(document->at("address").get<std::string>());
+        if (!address) {
+            return std::nullopt;
+        }
+        return leader_record{document->at("node").get<std::string>(), *address,
+                             document->at("term").get<std::int64_t>(), item.revision};
+    }
+    catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
-    return leader_record{document.value("node", ""), *address,
-                         document.value("term", std::int64_t{0}), item.revision};
 }
 
 leadership::leadership(net::timer_service& timers, store_port& store, leadership_settings settings,
