Limit the ages of orders that a former leader recorded

An age near 2^63 ms overflowed when it was subtracted from a time, and the VM was held for a time without meaning: in the test, still after the longest hold.

Failed before: vm_order_log.age_out_of_range_counts_as_the_longest.

--- a/src/jobs/vm_order_log.cpp
+++ b/src/jobs/vm_order_log.cpp
@@ -19,6 +19,16 @@
 // order can take effect.
 constexpr auto retention = 8000ms;
 
+// Returns 0 if the value is no age, and `longest` for higher ones, so that no time overflows.
+milliseconds decode_age(const nlohmann::json& value, milliseconds longest)
+{
+    if (value.is_number_unsigned()) {
+        const auto limit = static_cast<std::uint64_t>(longest.count());
+        return milliseconds(std::min(value.get<std::uint64_t>(), limit));
+    }
+    return milliseconds(0);
+}
+
 // Rounded down.
 std::int64_t whole_milliseconds(net::boot_clock::duration span)
 {
@@ -48,8 +58,7 @@
     // The record may have been written long before the change of leaders, so the true ages are the
     // stated ones or higher.
     for (const auto& [vm, age] : document->items()) {
-        const milliseconds at_least(age.is_number_integer() ? age.get<std::int64_t>() : 0);
-        held_until_[vm] = last_hold_end() - std::max(at_least, milliseconds(0));
+        held_until_[vm] = last_hold_end() - decode_age(age, interval_ + interval_margin);
     }
 }
 
--- a/src/jobs/vm_order_log_test.cpp
+++ b/src/jobs/vm_order_log_test.cpp
@@ -131,5 +131,22 @@
     EXPECT_FALSE(leader.log().held_by_previous_leader("vm"));
 }
 
+// Guards against an age that overflows when it is subtracted from a time, which held the VM for
+// ever or not at all.
+TEST(vm_order_log, age_out_of_range_counts_as_the_longest)
+{
+    virtual_timers timers;
+    logged_leader leader(timers, R"({"a":9223372036854775807,"b":-9223372036854775807,
+        "c":18446744073709551615,"d":"x"})");
+    EXPECT_FALSE(leader.log().held_by_previous_leader("a"));
+    for (const auto* vm : {"b", "d"}) {
+        EXPECT_TRUE(leader.log().held_by_previous_leader(vm)) << vm;
+    }
+    timers.run_for(longest_hold);
+    for (const auto* vm : {"a", "b", "c", "d"}) {
+        EXPECT_FALSE(leader.log().held_by_previous_leader(vm)) << vm;
+    }
+}
+
 } // namespace
 } // namespace jl::jobs
