Ignore items of the store whose key lacks the prefix

An item without a key, or with a key outside the prefix that is followed, was passed on; the engine cuts the prefix off the key of a worker's entry, which throws for a shorter key.

Failed before: watched_prefix_test.ignores_items_with_foreign_keys.

--- a/src/jobs/watched_prefix.cpp
+++ b/src/jobs/watched_prefix.cpp
@@ -110,6 +110,9 @@
 
 void watched_prefix::apply_item(const store_item& item)
 {
+    if (item.key.compare(0, prefix_.size(), prefix_) != 0) {
+        return;
+    }
     const auto known = revisions_.find(item.key);
     if (item.revision == 0) {
         if (known != revisions_.end()) {
--- a/src/jobs/watched_prefix_test.cpp
+++ b/src/jobs/watched_prefix_test.cpp
@@ -149,5 +149,14 @@
     EXPECT_EQ(store.watched_after, (std::vector<std::int64_t>{10, 11}));
 }
 
+// Guards against an item without a key of the prefix, which its receiver cannot take apart.
+TEST_F(watched_prefix_test, ignores_items_with_foreign_keys)
+{
+    scripted_store::answer(store.lists, 10,
+                           {make_item("", 5), make_item("servers", 6), make_item("servers/a", 7)});
+    scripted_store::answer(store.watches, 12, {make_item("", 11), make_item("servers/b", 12)});
+    EXPECT_EQ(changes, (std::vector<std::string>{"servers/a+", "servers/b+"}));
+}
+
 } // namespace
 } // namespace jl::jobs
