Test real nodes beside odd entries and a deeply nested submission

The new test submits a deeply nested job, kills the leader, and checks that the next one reads all entries and completes a job.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -215,6 +215,29 @@
     EXPECT_TRUE(eventually([&] { return state(other, "00000000000000d1") == "completed"; }));
 }
 
+// Guards against an entry of another writer, or a submission, that ends each process that reads it,
+// or stops the leader from following the list of workers.
+TEST_F(node_fleet, odd_entries_and_submissions_change_nothing)
+{
+    ASSERT_TRUE(eventually([&] { return submit(0, "00000000000000f1") == 200; }));
+    send(platform_address, "POST", "/standin/control", R"({"odd_entries": true})");
+    const std::string lists = std::string(100000, '[') + std::string(100000, ']');
+    const auto refused = send(node_addresses.at(1)[0], "POST", "/plans/00000000000000f2",
+                              R"({"steps":[{"count":1,"after":)" + lists + "}]}");
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 400);
+    const int first = leader();
+    ASSERT_GE(first, 0);
+    processes[first]->kill(); // the next leader reads all entries anew
+    const int other = (first + 1) % nodes;
+    ASSERT_TRUE(eventually([&] { return submit(other, "00000000000000f3") == 200; }));
+    EXPECT_TRUE(eventually([&] { return state(other, "00000000000000f3") == "completed"; }));
+    for (int number = 0; number < nodes; ++number) {
+        EXPECT_EQ(processes[number]->running(), number != first) << number;
+    }
+    EXPECT_TRUE(report()["violations"].empty()) << report()["violations"].dump();
+}
+
 // Load pattern: the platform is away for seconds. Guards against telling all callers one second,
 // whatever the outage: they used up their tries before the service returned.
 TEST_F(node_fleet, refused_callers_are_asked_back_later_the_longer_the_outage_lasts)
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -55,6 +55,7 @@
         std::vector<std::string>{platform_address_.to_string(), "400", worker_address_.to_string()},
         (directory_ / "platform.log").string());
     harness::eventually([&] { return !report().is_null(); });
+    control({{"odd_entries", true}});
     for (int index = 0; index < nodes; ++index) {
         node added;
         added.callers = harness::free_endpoint();
