Do not report "not run" for a key whose earlier call may have run

An idempotent keyed call that ended without an answer may be repeated with its key. If the repetition found no slot, or its claim could not be recorded, the caller got "not run" and the record became `cancelled`, which is also what a query of the key showed: the refusal of the second attempt was taken for a verdict on the first, which may have run. A claim that was committed late was withdrawn in the same way.

A claim now knows whether it replaces an unknown record. If so, a call that did not run leaves the record `unknown`, and its caller gets an unknown outcome, which names the reason of the refusal.

Tests that failed before: durable_requests.key_stays_unknown_when_its_repetition_does_not_run and durable_failures.key_stays_unknown_when_its_repetition_is_not_recorded.

--- a/src/requests/durable_failures_test.cpp
+++ b/src/requests/durable_failures_test.cpp
@@ -317,6 +317,31 @@
     EXPECT_EQ(deployment.executions.runs["k1"], 1);
 }
 
+// Guards against "not run" for a key whose earlier call may have run, when the store takes the
+// claim of its repetition late or not at all.
+TEST(durable_failures, key_stays_unknown_when_its_repetition_is_not_recorded)
+{
+    for (const auto fault : {call_fault::unavailable, call_fault::lost_response}) {
+        test_deployment deployment;
+        auto& entry = deployment.start("a");
+        deployment.run(seconds(3));
+        const auto call = deployment.make_call("k1", true);
+        entry.engine.choose_outcome = [](const requests::call&) { return outcome::unknown; };
+        EXPECT_EQ(entry.durable->execute_once(call).result, outcome::unknown);
+        int calls = 0;
+        entry.connection.choose_fault = [&] {
+            ++calls;
+            return calls == 1   ? call_fault::none // the claim conflicts with the earlier one
+                   : calls == 2 ? fault
+                                : call_fault::unavailable;
+        };
+        EXPECT_EQ(entry.durable->execute_once(call).result, outcome::unknown) << describe(fault, 1);
+        entry.connection.choose_fault = [] { return call_fault::none; };
+        deployment.run(recovery_time);
+        EXPECT_EQ(deployment.stored("k1").state, request_state::unknown) << describe(fault, 1);
+    }
+}
+
 // Guards against two runs when both entries claim the same key between any two store calls.
 TEST(durable_failures, same_key_through_two_entries_at_once_runs_once)
 {
--- a/src/requests/durable_requests.cpp
+++ b/src/requests/durable_requests.cpp
@@ -69,6 +69,22 @@
     return result;
 }
 
+// The result of a call that did not run although an earlier call with its key may have run.
+call_result make_unknown_repetition(const call_result& refusal)
+{
+    auto result = refusal;
+    result.result = outcome::unknown;
+    result.error_message =
+        "an earlier call with this key may have run; this one did not: " + refusal.error_message;
+    return result;
+}
+
+// The state of a claim whose call did not run.
+request_state unstarted_state(bool may_have_run)
+{
+    return may_have_run ? request_state::unknown : request_state::cancelled;
+}
+
 call_result make_accepted()
 {
     call_result result;
@@ -144,6 +160,12 @@
     struct claim_result {
         std::int64_t revision = 0; // of the committed claim; 0 if there is none
         call_result answer;        // returned to the caller if revision is 0
+        bool may_have_run = false; // an earlier call with the key ended without an answer
+    };
+    // What a claim replaces.
+    struct claim_basis {
+        store::compare expected;
+        bool may_have_run = false; // as in claim_result
     };
     struct role_state {
         int rounds_not_preferred = 0;
@@ -154,11 +176,13 @@
     };
 
     claim_result claim(const call& call, const request_record& record);
-    // Returns the result of a call whose key is in use, or nullopt if the claim may be retried with
-    // `expected` as its condition.
+    claim_result claim_on(const call& call, const request_record& record, claim_basis& basis);
+    // Returns the result of a call whose key is in use, or nullopt if the claim may be retried on
+    // `basis`.
     std::optional<call_result> resolve_key_in_use(const call& call, const stored_request& found,
-                                                  store::compare& expected);
-    void cancel_late_claim(const request_record& record, const store::change_result& result);
+                                                  claim_basis& basis);
+    void withdraw_late_claim(const request_record& record, bool may_have_run,
+                             const store::change_result& result);
     std::optional<request_record> mark_unknown(const stored_request& found);
     std::optional<call_result> check_acceptable(const call& call) const;
     static call_result make_accept_result(const request_record& wanted,
@@ -230,7 +254,11 @@
     case outcome::not_run:
         // The next call with this key may replace the cancelled claim. The record is not removed:
         // a delayed duplicate of the claim's write must still conflict with it.
-        write.record = internal::with_state(std::move(record), request_state::cancelled);
+        write.record =
+            internal::with_state(std::move(record), unstarted_state(claimed.may_have_run));
+        if (claimed.may_have_run) {
+            result = make_unknown_repetition(result);
+        }
         break;
     case outcome::accepted:
     case outcome::unknown:
@@ -244,21 +272,34 @@
 
 durable_service_impl::claim_result durable_service_impl::claim(const call& call,
                                                                const request_record& record)
+{
+    claim_basis basis{store::key_absent(internal::request_key(record.id))};
+    auto claimed = claim_on(call, record, basis);
+    claimed.may_have_run = basis.may_have_run;
+    if (basis.may_have_run && claimed.answer.result == outcome::not_run) {
+        claimed.answer = make_unknown_repetition(claimed.answer);
+    }
+    return claimed;
+}
+
+durable_service_impl::claim_result
+durable_service_impl::claim_on(const call& call, const request_record& record, claim_basis& basis)
 {
     const auto key = internal::request_key(record.id);
-    auto expected = store::key_absent(key);
     for (int attempt = 0; attempt < max_claim_attempts; ++attempt) {
         const auto lease = log_.lease();
         if (!lease) {
             return {0, make_store_refusal(store::last_error())};
         }
         store::change change;
-        change.compares = {expected};
+        change.compares = {basis.expected};
         change.writes = {store::put(key, records::to_json(record), *lease)};
         change.deadline = commit_deadline(call);
         const auto result = log_.commits().commit(
             std::move(change),
-            [this, record](const store::change_result& late) { cancel_late_claim(record, late); });
+            [this, record, may_have_run = basis.may_have_run](const store::change_result& late) {
+                withdraw_late_claim(record, may_have_run, late);
+            });
         switch (result.outcome) {
         case store::change_outcome::committed:
             return {result.revision, {}};
@@ -273,9 +314,9 @@
         case store::change_outcome::conflict:
             break;
         }
-        expected = store::key_absent(key);
+        basis.expected = store::key_absent(key);
         if (const auto found = find_current_record(result, key)) {
-            if (auto answer = resolve_key_in_use(call, *found, expected)) {
+            if (auto answer = resolve_key_in_use(call, *found, basis)) {
                 return {0, std::move(*answer)};
             }
         }
@@ -283,23 +324,23 @@
     return {0, make_refusal(503, "key_contended", "the key is in use by other calls")};
 }
 
-// Cancels a claim that was committed after its caller had received "not run". Otherwise the key
+// Withdraws a claim that was committed after its caller had received its answer. Otherwise the key
 // would stay in use for as long as this entry lives.
-void durable_service_impl::cancel_late_claim(const request_record& record,
-                                             const store::change_result& result)
+void durable_service_impl::withdraw_late_claim(const request_record& record, bool may_have_run,
+                                               const store::change_result& result)
 {
     if (result.outcome != store::change_outcome::committed) {
         return;
     }
     internal::outcome_write write;
     write.condition = store::unchanged_since(internal::request_key(record.id), result.revision);
-    write.record = internal::with_state(record, request_state::cancelled);
+    write.record = internal::with_state(record, unstarted_state(may_have_run));
     log_.save_later(std::move(write));
 }
 
 std::optional<call_result> durable_service_impl::resolve_key_in_use(const call& call,
                                                                     const stored_request& found,
-                                                                    store::compare& expected)
+                                                                    claim_basis& basis)
 {
     auto record = found.record;
     if (record.body_hash != internal::request_hash(call) || record.service != call.service ||
@@ -314,7 +355,9 @@
     }
     const bool repeatable = record.state == request_state::unknown && record.idempotent;
     if (record.state == request_state::cancelled || repeatable) {
-        expected = store::unchanged_since(internal::request_key(found.record.id), found.revision);
+        basis.expected =
+            store::unchanged_since(internal::request_key(found.record.id), found.revision);
+        basis.may_have_run = repeatable;
         return std::nullopt;
     }
     if (record.state == request_state::answered) {
--- a/src/requests/durable_requests_test.cpp
+++ b/src/requests/durable_requests_test.cpp
@@ -71,6 +71,21 @@
     EXPECT_EQ(deployment.executions.runs["k1"], 1);
 }
 
+// Guards against "not run" for a key whose earlier call may have run.
+TEST(durable_requests, key_stays_unknown_when_its_repetition_does_not_run)
+{
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    const auto call = deployment.make_call("k1", true);
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::unknown; };
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::unknown);
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::not_run; };
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::unknown);
+    EXPECT_EQ(deployment.stored("k1").state, request_state::unknown);
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::answered; };
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::answered);
+}
+
 // Guards against a claim that stays "running" for a day after its holder was killed.
 TEST(durable_requests, claim_of_a_killed_holder_becomes_unknown)
 {
