Do not run a key again for a call that is not idempotent

A keyed call that ended without an answer was run again if the earlier call had been sent as idempotent, even if the repetition said that it is not: the hash that detects a reused key leaves out this property, and only the record was asked. The caller who rules out a second run got one. Now both calls must be idempotent; otherwise the caller is told that the outcome is unknown.

Failed before: durable_requests.call_that_is_not_idempotent_does_not_repeat_an_idempotent_one.

--- a/src/requests/durable_requests.cpp
+++ b/src/requests/durable_requests.cpp
@@ -353,7 +353,8 @@
             record = *updated;
         }
     }
-    const bool repeatable = record.state == request_state::unknown && record.idempotent;
+    const bool repeatable =
+        record.state == request_state::unknown && record.idempotent && call.idempotent;
     if (record.state == request_state::cancelled || repeatable) {
         basis.expected =
             store::unchanged_since(internal::request_key(found.record.id), found.revision);
--- a/src/requests/durable_requests_test.cpp
+++ b/src/requests/durable_requests_test.cpp
@@ -86,6 +86,19 @@
     EXPECT_EQ(entry.durable->execute_once(call).result, outcome::answered);
 }
 
+// Guards against a second run that the caller has ruled out for its repeated key.
+TEST(durable_requests, call_that_is_not_idempotent_does_not_repeat_an_idempotent_one)
+{
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::unknown; };
+    EXPECT_EQ(entry.durable->execute_once(deployment.make_call("k1", true)).result,
+              outcome::unknown);
+    EXPECT_EQ(entry.durable->execute_once(deployment.make_call("k1", false)).result,
+              outcome::unknown);
+    EXPECT_EQ(deployment.executions.runs["k1"], 1);
+}
+
 // Guards against a claim that stays "running" for a day after its holder was killed.
 TEST(durable_requests, claim_of_a_killed_holder_becomes_unknown)
 {
