Neither cancel nor expire a deferred request that may have run

An idempotent deferred request stays queued after an attempt without an answer. If it was cancelled or its deadline passed before the next attempt, its record said `cancelled` or `expired`, the caller was told that it ended without running, and the operators' page said that it never started, although the first attempt may have run.

Such a request is no longer cancelled, like any other that has started, and becomes `unknown` at its deadline. The count of attempts without an answer, which is in the record, decides.

--- a/src/requests/deferred_queue.cpp
+++ b/src/requests/deferred_queue.cpp
@@ -125,7 +125,8 @@
     const std::lock_guard lock(mutex_);
     const auto found = items_.find(id);
     return found != items_.end() &&
-           (found->second->state != phase::waiting || found->second->marked);
+           (found->second->state != phase::waiting || found->second->marked ||
+            may_have_run(found->second->stored.record));
 }
 
 int deferred_queue::backlog() const
@@ -535,7 +536,7 @@
         return;
     case outcome::unknown:
     case outcome::accepted:
-        if (record.unanswered_attempts > 0 || count_attempt(item)) {
+        if (may_have_run(record) || count_attempt(item)) {
             retry_after_delay(item, context_.options.retry_delay);
         }
         return;
@@ -551,7 +552,7 @@
 bool deferred_queue::count_repetition(const item_ptr& item)
 {
     auto& record = item->stored.record;
-    if (!record.idempotent || record.unanswered_attempts == 0) {
+    if (!record.idempotent || !may_have_run(record)) {
         return true;
     }
     return count_attempt(item);
@@ -666,7 +667,9 @@
         const std::lock_guard lock(mutex_);
         ++started_count_;
     }
-    finish(item, with_state(item->stored.record, request_state::expired));
+    const auto& record = item->stored.record;
+    finish(item, with_state(record, may_have_run(record) ? request_state::unknown
+                                                         : request_state::expired));
 }
 
 void deferred_queue::finish(const item_ptr& item, records::request_record outcome)
--- a/src/requests/durable_requests.cpp
+++ b/src/requests/durable_requests.cpp
@@ -598,7 +598,8 @@
             queued.empty() ? std::map<std::string, stored_request>{}
                            : log_.read(queued).value_or(std::map<std::string, stored_request>{});
         for (const auto& [key, stored] : entries) {
-            if (stored.record.state != request_state::queued) {
+            if (stored.record.state != request_state::queued ||
+                internal::may_have_run(stored.record)) {
                 continue;
             }
             const auto record = internal::with_state(stored.record, request_state::cancelled);
--- a/src/requests/durable_requests_test.cpp
+++ b/src/requests/durable_requests_test.cpp
@@ -215,5 +215,34 @@
     EXPECT_EQ(deployment.queued(), 0U);
 }
 
+// Guards against a request shown as not started, or accepted anew, although an attempt without an
+// answer may have run.
+TEST(durable_requests, request_that_may_have_run_neither_expires_nor_is_cancelled)
+{
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    entry.engine.choose_outcome = [](const call&) { return outcome::unknown; };
+    auto expiring = deployment.make_call("d1", true);
+    expiring.deadline = deployment.clock.steady_now() + seconds(4);
+    const auto lasting = deployment.make_call("d2", true);
+    deployment.run(seconds(2));
+    for (const auto& call : {expiring, lasting}) {
+        EXPECT_EQ(entry.durable->accept_deferred(call).result, outcome::accepted);
+    }
+    while (deployment.executions.runs["d1"] * deployment.executions.runs["d2"] == 0) {
+        deployment.run(std::chrono::milliseconds(250));
+    }
+    entry.engine.has_room = false;
+    EXPECT_TRUE(entry.durable->cancel({"d2"}).empty());
+    deployment.run(seconds(6));
+    EXPECT_TRUE(entry.durable->cancel({"d2"}).empty());
+    entry.engine.choose_outcome = [](const call&) { return outcome::answered; };
+    entry.engine.has_room = true;
+    deployment.run(seconds(6));
+    EXPECT_EQ(deployment.stored("d1").state, request_state::unknown);
+    EXPECT_EQ(deployment.stored("d2").state, request_state::answered);
+    EXPECT_EQ(deployment.queued(), 0U);
+}
+
 } // namespace
 } // namespace jl::requests::testing
--- a/src/requests/request_log.cpp
+++ b/src/requests/request_log.cpp
@@ -58,6 +58,11 @@
     return record.expires_at.count() != 0;
 }
 
+bool may_have_run(const records::request_record& record)
+{
+    return record.unanswered_attempts > 0;
+}
+
 records::request_record make_record(const call& call, const clock_source& clock)
 {
     records::request_record record;
--- a/src/requests/request_log.h
+++ b/src/requests/request_log.h
@@ -49,6 +49,8 @@
 // True for the record of a deferred request, false for that of a keyed call. Only deferred requests
 // have an expiry time.
 bool is_deferred(const records::request_record& record);
+// True if an attempt of a queued request ended without an answer, so a target may have executed it.
+bool may_have_run(const records::request_record& record);
 records::request_record make_record(const call& call, const clock_source& clock);
 // Returns the record with the given state, an empty body and a new write id.
 records::request_record with_state(records::request_record record, records::request_state state);
