Do not reuse a connection that has surplus input

A server that sends more bytes than a response has (a body with a 204, a wrong length, a second response) had the rest read into the session's buffer along with the response. The check before reuse looks at the socket only, so the next request on the connection was given these bytes as its response: a caller could get another caller's answer, and a write or a start could be taken for carried out. The client now closes a connection whose session still holds input after a response.

Failed before: client.does_not_take_surplus_bytes_for_the_next_response, in all three cases.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -35,25 +35,33 @@
     return Poco::Timespan(std::max<std::int64_t>(time.count(), 1) * Poco::Timespan::MILLISECONDS);
 }
 
+class client_session final : public HTTPClientSession {
+public:
+    using HTTPClientSession::HTTPClientSession;
+
+    // True if the socket is readable while no response is expected: the peer has closed the
+    // connection or sent unexpected bytes.
+    bool has_pending_input()
+    {
+        return socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
+    // True if bytes that followed a response have been read with it. They would pass for the
+    // response to the next request.
+    bool has_surplus_input() const { return buffered() > 0; }
+};
+
 struct connection {
-    std::unique_ptr<HTTPClientSession> session;
+    std::unique_ptr<client_session> session;
     steady_time idle_since;
 };
 
-// True if the socket is readable while no response is expected: the peer has closed the connection
-// or sent unexpected bytes.
-bool has_pending_input(HTTPClientSession& session)
-{
-    return session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-}
-
 } // namespace
 
 class client::pool {
 public:
     pool(endpoint server, client_limits limits) : server_(std::move(server)), limits_(limits) {}
 
-    std::unique_ptr<HTTPClientSession> acquire()
+    std::unique_ptr<client_session> acquire()
     {
         const auto now = std::chrono::steady_clock::now();
         for (;;) {
@@ -72,13 +80,13 @@
                 ++in_use_;
             }
             if (now - candidate.idle_since < limits_.max_idle_time &&
-                !has_pending_input(*candidate.session)) {
+                !candidate.session->has_pending_input()) {
                 return std::move(candidate.session);
             }
             candidate.session->reset();
             release_slot();
         }
-        auto session = std::make_unique<HTTPClientSession>(server_.address, server_.port);
+        auto session = std::make_unique<client_session>(server_.address, server_.port);
         session->setKeepAlive(true);
         // The pool decides whether a connection is reused. POCO reconnects a session older than its
         // keep-alive timeout, so the timeout is set to 1 day.
@@ -86,7 +94,7 @@
         return session;
     }
 
-    void release(std::unique_ptr<HTTPClientSession> session)
+    void release(std::unique_ptr<client_session> session)
     {
         const std::lock_guard lock(mutex_);
         --in_use_;
@@ -121,9 +129,8 @@
 
 // Reads the body. Sets the thread's last error and returns false if the body is incomplete or
 // exceeds the deadline or the size limit.
-bool read_body(HTTPClientSession& session, std::istream& stream,
-               const Poco::Net::HTTPResponse& head, std::size_t max_bytes, steady_time deadline,
-               std::string& body)
+bool read_body(client_session& session, std::istream& stream, const Poco::Net::HTTPResponse& head,
+               std::size_t max_bytes, steady_time deadline, std::string& body)
 {
     std::array<char, 16384> buffer{};
     for (;;) {
@@ -159,7 +166,7 @@
     }
     // POCO does not distinguish the end of a chunked body from a lost connection. Only if the
     // connection is still open, the final chunk must have arrived.
-    if (!head.getChunkedTransferEncoding() || has_pending_input(session)) {
+    if (!head.getChunkedTransferEncoding() || session.has_pending_input()) {
         fail(client_error_code::truncated, "the end of the answer cannot be verified");
         return false;
     }
@@ -237,7 +244,7 @@
             pool_->release_slot();
             return std::nullopt;
         }
-        if (response_head.getKeepAlive()) {
+        if (response_head.getKeepAlive() && !session->has_surplus_input()) {
             pool_->release(std::move(session));
         }
         else {
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -1,4 +1,7 @@
+#include <array>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -91,6 +94,50 @@
     EXPECT_FALSE(client::last_error().not_sent());
 }
 
+// Accepts connections one after the other and answers each request on them with the next of the
+// given byte strings. Closes a connection only when the client does.
+class scripted_server {
+public:
+    explicit scripted_server(std::vector<std::string> responses)
+        : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+          thread_([this, responses = std::move(responses)] {
+              auto connection = socket_.acceptConnection();
+              for (const auto& response : responses) {
+                  std::array<char, 4096> buffer{};
+                  while (connection.receiveBytes(buffer.data(), buffer.size()) <= 0) {
+                      connection = socket_.acceptConnection();
+                  }
+                  connection.sendBytes(response.data(), static_cast<int>(response.size()));
+              }
+          })
+    {
+    }
+    ~scripted_server() { thread_.join(); }
+    endpoint address() const { return {"127.0.0.1", socket_.address().port()}; }
+
+private:
+    Poco::Net::ServerSocket socket_;
+    std::thread thread_;
+};
+
+// Guards against bytes that follow one response being read as the response to the next request.
+TEST(client, does_not_take_surplus_bytes_for_the_next_response)
+{
+    const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+    for (const std::string& first :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + surplus,
+          "HTTP/1.1 204 No Content\r\n\r\n" + surplus,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" + surplus}) {
+        const scripted_server server({first, second});
+        client client(server.address(), {});
+        EXPECT_TRUE(client.exchange({}, deadline_in(5s))) << client::last_error().message;
+        const auto response = client.exchange({}, deadline_in(5s));
+        ASSERT_TRUE(response) << client::last_error().message;
+        EXPECT_EQ(response->body, "second") << first;
+    }
+}
+
 // Guards against reading an oversized request body into memory.
 TEST(server, rejects_oversized_request_bodies)
 {
