Read a server error of the platform as an unknown outcome

HTTP 500, 502 and 504 of the platform's API counted as "not sent", although a gateway or the platform may answer so after the call was carried out. The planner repeats a start that was not sent, so a task whose first start was carried out, and which had ended by then, was run a second time. Only 503, which refuses the call, still counts as not carried out.

Failed before: http_platform.server_error_does_not_say_that_nothing_was_done.

--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -21,6 +21,22 @@
     return error;
 }
 
+platform_error_code classify(int status)
+{
+    constexpr int not_found = 404;
+    constexpr int first_server_error = 500;
+    constexpr int service_unavailable = 503;
+    switch (status) {
+    case not_found:
+        return platform_error_code::not_found;
+    case service_unavailable:
+        return platform_error_code::unavailable;
+    default:
+        return status >= first_server_error ? platform_error_code::outcome_unknown
+                                            : platform_error_code::refused;
+    }
+}
+
 // Sends one request and returns the JSON body of a 200 response. On failure sets last_error() and
 // returns nullopt.
 std::optional<json> call(http::client& client, const std::string& method, const std::string& path,
@@ -47,10 +63,7 @@
     if (answer->status == 200) {
         return internal::fail(platform_error_code::malformed, path + ": the answer is not JSON");
     }
-    const auto code = answer->status == 404   ? platform_error_code::not_found
-                      : answer->status >= 500 ? platform_error_code::unavailable
-                                              : platform_error_code::refused;
-    return internal::fail(code, path + ": " + answer->body);
+    return internal::fail(classify(answer->status), path + ": " + answer->body);
 }
 
 vm_resources read_resources(const json& value)
--- /dev/null
+++ b/src/platform/http_platform_test.cpp
@@ -0,0 +1,40 @@
+#include <gtest/gtest.h>
+
+#include "http/server.h"
+#include "platform/platform.h"
+
+namespace jl::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A platform that answers every call in the same way.
+class http_platform : public ::testing::Test {
+protected:
+    bool start_task()
+    {
+        return api.workers->start("vm1", {"t1", "match", {}, "", 1}, 10s, deadline());
+    }
+    static steady_time deadline() { return std::chrono::steady_clock::now() + 5s; }
+
+    http::response answer;
+    http::server server{{"127.0.0.1", 0}, {}, [this](const http::request&) { return answer; }};
+    platform_api api = make_http_platform({"127.0.0.1", server.port()});
+};
+
+// Guards against a second run of a task whose first start was carried out, although a gateway or
+// the platform answered with a server error.
+TEST_F(http_platform, server_error_does_not_say_that_nothing_was_done)
+{
+    for (const int status : {500, 502, 504}) {
+        answer = http::json_response(status, "{}");
+        EXPECT_FALSE(start_task());
+        EXPECT_EQ(last_error().code, platform_error_code::outcome_unknown) << status;
+    }
+    answer = http::json_response(503, "{}");
+    EXPECT_FALSE(start_task());
+    EXPECT_EQ(last_error().code, platform_error_code::unavailable);
+}
+
+} // namespace
+} // namespace jl::platform
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -13,8 +13,9 @@
 namespace jl::platform {
 
 enum class platform_error_code {
-    unavailable,     // the request was not sent, or the platform answered with HTTP 5xx
-    outcome_unknown, // the request may have been sent, but no complete response arrived
+    unavailable,     // the request was not sent, or the platform answered with HTTP 503
+    outcome_unknown, // the request may have been carried out: it was sent, but no complete response
+                     // arrived, or the platform answered with another HTTP 5xx
     not_found,       // the platform answered with HTTP 404
     refused,         // the platform answered with another HTTP status than 200, 404 or 5xx
     malformed        // the response is not JSON or lacks expected fields
