Do not read an unknown state of a task as its end

A worker's report with a task state that this version does not know was read as `failed`, and the planner started the task elsewhere while it might still be at work. It now counts as running until the platform reports an end.

Failed before: http_platform.unknown_task_state_is_not_an_end.

--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -246,8 +246,9 @@
         for (const auto& entry : item.at("tasks")) {
             task_report task;
             task.task = entry.at("task").get<std::string>();
-            task.state =
-                parse_task_state(entry.at("state").get<std::string>()).value_or(task_state::failed);
+            // A state that we do not know is no end: the task would be started a second time.
+            task.state = parse_task_state(entry.at("state").get<std::string>())
+                             .value_or(task_state::running);
             task.used = read_resources(entry.value("used", json::object()));
             task.checkpoint = entry.value("checkpoint", "");
             task.fencing_token = entry.value("fencing_token", std::int64_t{0});
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -36,5 +36,15 @@
     EXPECT_EQ(last_error().code, platform_error_code::unavailable);
 }
 
+// Guards against a second run of a task that is at work in a state added to the platform later.
+TEST_F(http_platform, unknown_task_state_is_not_an_end)
+{
+    answer = http::json_response(
+        200, R"({"workers": [{"vm": "vm1", "tasks": [{"task": "t1", "state": "suspended"}]}]})");
+    const auto workers = api.workers->reports(deadline());
+    ASSERT_TRUE(workers);
+    EXPECT_EQ(workers->at(0).tasks.at(0).state, task_state::running);
+}
+
 } // namespace
 } // namespace jl::platform
