Survive a checkpoint answer of another form

An answer to a checkpoint call that was JSON, but no object, or whose checkpoint was no text, threw out of the platform client into the planner's round. It is now reported as malformed, like other answers.

Failed before: http_platform.checkpoint_of_another_form_is_malformed.

--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -210,7 +210,12 @@
         if (!answer) {
             return std::nullopt;
         }
-        return answer->value("checkpoint", "");
+        try {
+            return answer->value("checkpoint", "");
+        }
+        catch (const json::exception& error) {
+            return internal::fail(platform_error_code::malformed, error.what());
+        }
     }
 
     bool stop(const std::string& vm, const std::string& task, std::int64_t fencing_token,
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -46,5 +46,15 @@
     EXPECT_EQ(workers->at(0).tasks.at(0).state, task_state::running);
 }
 
+// Guards against a process that ends because of an answer of another form.
+TEST_F(http_platform, checkpoint_of_another_form_is_malformed)
+{
+    for (const char* body : {"[]", "7", "null", R"({"checkpoint": 7})"}) {
+        answer = http::json_response(200, body);
+        EXPECT_FALSE(api.workers->checkpoint("vm1", "t1", 1, deadline())) << body;
+        EXPECT_EQ(last_error().code, platform_error_code::malformed) << body;
+    }
+}
+
 } // namespace
 } // namespace jl::platform
