Do not tell operators that nothing changed after an open attempt

The administration client repeats a call without an answer. If the repetition was answered with 503, jlctl reported "unavailable; nothing was changed", although the first attempt may have been carried out, or may be carried out later. A 503 now settles a call only if no earlier attempt is open; otherwise the outcome is reported as unknown.

Failed before: admin_client.unavailable_after_a_lost_answer_leaves_the_outcome_open.

--- a/src/operators/admin_client.cpp
+++ b/src/operators/admin_client.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr int attempts = 3;
-constexpr int gateway_timeout = 504; // the store did not say whether the write took effect
+constexpr int service_unavailable = 503; // this attempt changed nothing
+constexpr int gateway_timeout = 504;     // the store did not say whether the write took effect
 
 } // namespace
 
@@ -62,11 +63,16 @@
     bool may_have_been_carried_out = false;
     for (int attempt = 0; attempt < attempts; ++attempt) {
         answer = transport_.exchange(request);
-        if (answer && answer->status != gateway_timeout) {
+        if (answer && answer->status == gateway_timeout) {
+            may_have_been_carried_out = true;
+            continue;
+        }
+        if (answer && !(answer->status == service_unavailable && may_have_been_carried_out)) {
             return answer;
         }
         if (answer) {
-            may_have_been_carried_out = true;
+            error_.message = "the last attempt was answered with 503, an earlier one is open";
+            answer.reset();
             continue;
         }
         error_ = transport_.last_error();
--- a/src/operators/admin_client_test.cpp
+++ b/src/operators/admin_client_test.cpp
@@ -1,5 +1,9 @@
+#include <algorithm>
 #include <atomic>
+#include <optional>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -45,6 +49,44 @@
     EXPECT_EQ(cut_off.last_error().code, transport_error_code::not_sent);
 }
 
+// Gives one answer to each attempt; none stands for a lost one.
+class scripted_transport final : public admin_transport {
+public:
+    explicit scripted_transport(std::vector<std::optional<int>> statuses)
+        : statuses_(std::move(statuses))
+    {
+    }
+    std::optional<http::response> exchange(const http::request& /*request*/) override
+    {
+        const auto status = statuses_.at(std::min(next_++, statuses_.size() - 1));
+        return status ? std::optional(http::json_response(*status, "{}")) : std::nullopt;
+    }
+    transport_error last_error() const override
+    {
+        return {transport_error_code::outcome_unknown, "lost"};
+    }
+
+private:
+    std::vector<std::optional<int>> statuses_;
+    std::size_t next_ = 0;
+};
+
+// Guards against "nothing was changed" when only a repetition changed nothing.
+TEST(admin_client, unavailable_after_a_lost_answer_leaves_the_outcome_open)
+{
+    for (const auto& first : {std::optional<int>(), std::optional(504)}) {
+        scripted_transport transport({first, 503});
+        admin_client client(transport, "ann.secret");
+        EXPECT_FALSE(client.publish(make_document(), 0, "w1"));
+        EXPECT_EQ(client.last_error().code, transport_error_code::outcome_unknown);
+    }
+    scripted_transport unavailable({503});
+    admin_client client(unavailable, "ann.secret");
+    const auto answer = client.publish(make_document(), 0, "w1");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503);
+}
+
 // Guards against lost or doubled generations when many operators publish at once: each generation
 // has one winner, and every other attempt is told that it lost.
 TEST_F(admin_over_http, simultaneous_publishes_have_one_winner_each)
