Keep a publish open when only its repetition was refused

A publish without an answer is repeated. If the store refused the repetition, the operator was told that the write was refused, although the first attempt may have published the generation. The refusal now ends the publish only if no earlier attempt is open.

Failed before: configuration.refusal_after_a_lost_answer_leaves_the_outcome_open.

--- a/src/operators/configuration_service.cpp
+++ b/src/operators/configuration_service.cpp
@@ -313,7 +313,7 @@
             break; // another write came first, or an earlier attempt of this one
         }
         const auto& error = store::last_error();
-        if (error.code == store_error_code::refused) {
+        if (error.code == store_error_code::refused && !may_have_taken_effect) {
             return fail(configuration_error_code::unavailable,
                         "the key-value service refused the write: " + error.message);
         }
--- a/src/operators/configuration_service_test.cpp
+++ b/src/operators/configuration_service_test.cpp
@@ -101,6 +101,15 @@
     EXPECT_EQ(service.current()->generation, 1);
 }
 
+// Guards against reporting a publish as refused although an earlier attempt may have published it.
+TEST_F(configuration, refusal_after_a_lost_answer_leaves_the_outcome_open)
+{
+    store.drop_requests(1);
+    store.refuse_transactions = true;
+    EXPECT_FALSE(publish(make_document(), 0, "w1"));
+    EXPECT_EQ(configuration_service::last_error().code, configuration_error_code::outcome_unknown);
+}
+
 // Guards against taking another operator's generation for one's own after a lost request.
 TEST_F(configuration, recognizes_a_lost_race_after_a_lost_request)
 {
--- a/src/operators/test_support.h
+++ b/src/operators/test_support.h
@@ -60,6 +60,9 @@
             store::internal::fail(store::store_error_code::outcome_unknown, "request lost");
             return std::nullopt;
         }
+        if (refuse_transactions) {
+            return store::internal::fail(store::store_error_code::refused, "refused");
+        }
         if (lose) {
             store_.inject(standins::store_fault::lost_answer, 1);
         }
@@ -87,6 +90,8 @@
 
     // Runs once before the next transaction, e.g. to let another operator come first.
     std::function<void()> before_commit;
+    // Whether the store refuses the transactions that reach it.
+    bool refuse_transactions = false;
 
     standins::memory_store& memory() { return store_; }
     // The next transactions take effect, but their answers are lost.
