Read a store without space or with too many calls as unavailable

etcd answers 429 when it has no space or too many calls. It was read as a refusal of this very call, which ends a write whose earlier attempt had no answer as "not applied": a deferred request that was accepted by the first attempt was reported as not run. 429 now counts as unavailable; writes with an open attempt are repeated until their compares settle them, as after other outages.

Failed before: etcd_store.status_decides_whether_a_write_may_have_taken_effect, with the row for 429.

--- a/src/store/etcd_codec_test.cpp
+++ b/src/store/etcd_codec_test.cpp
@@ -119,6 +119,8 @@
         {{504, "{}"}, store_error_code::outcome_unknown},
         {{404, R"({"error": "etcdserver: requested lease not found"})"},
          store_error_code::lease_not_found},
+        {{429, R"({"error": "etcdserver: too many requests", "code": 8})"},
+         store_error_code::unavailable},
         {{400, "{}"}, store_error_code::refused},
     };
     fixed_gateway gateway;
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -231,6 +231,10 @@
         if (answer.status == 503 && !may_have_been_proposed(answer.body)) {
             return fail(store_error_code::unavailable, answer.body);
         }
+        // Lack of space or too many calls: the same call may be accepted later.
+        if (answer.status == 429) {
+            return fail(store_error_code::unavailable, answer.body);
+        }
         // A gateway reports a lost connection to its store in this way.
         if (answer.status >= 500) {
             return fail(store_error_code::outcome_unknown, answer.body);
