Do not hold a role again whose release may still take effect

If the release of a role had no answer and the process acquired the role again, it found itself as the owner with the former token and went on. A release carried out later then removed the role under its holder: its writes failed until its lease expired, and another process acted in the role beside it. The lease now remembers a release without an answer, sends it again and acquires the role only with a new token.

Failed before: process_lease.role_whose_release_has_no_answer_is_not_held_again.

--- a/src/store/role.cpp
+++ b/src/store/role.cpp
@@ -93,6 +93,10 @@
     if (owner.lease != lease) {
         return std::nullopt;
     }
+    if (release_is_open(role, owner.create_revision)) {
+        send_release(role, owner.create_revision);
+        return std::nullopt;
+    }
     const std::lock_guard lock(mutex_);
     if (lease_ != lease) {
         return std::nullopt;
@@ -101,6 +105,26 @@
     return owner.create_revision;
 }
 
+bool process_lease::release_is_open(const std::string& role, std::int64_t token) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = open_releases_.find(role);
+    return found != open_releases_.end() && found->second == token;
+}
+
+void process_lease::send_release(const std::string& role, std::int64_t token)
+{
+    const auto result = store_.commit({{fence(role, token)}, {remove(owners_prefix + role)}, {}},
+                                      clock_.steady_now() + call_limit);
+    const std::lock_guard lock(mutex_);
+    if (result) {
+        open_releases_.erase(role);
+    }
+    else {
+        open_releases_[role] = token;
+    }
+}
+
 void process_lease::release(const std::string& role)
 {
     std::optional<std::int64_t> held;
@@ -113,8 +137,7 @@
         held = found->second;
         tokens_.erase(found);
     }
-    store_.commit({{fence(role, *held)}, {remove(owners_prefix + role)}, {}},
-                  clock_.steady_now() + call_limit);
+    send_release(role, *held);
 }
 
 compare process_lease::fence(const std::string& role, std::int64_t token)
--- a/src/store/role.h
+++ b/src/store/role.h
@@ -47,6 +47,9 @@
     static compare fence(const std::string& role, std::int64_t token);
 
 private:
+    bool release_is_open(const std::string& role, std::int64_t token) const;
+    void send_release(const std::string& role, std::int64_t token);
+
     key_value_store& store_;
     const clock_source& clock_;
     const std::string holder_;
@@ -56,6 +59,9 @@
     std::int64_t epoch_ = 0;
     steady_time renewed_at_;
     std::map<std::string, std::int64_t> tokens_;
+    // By role: the token whose release has no answer. It may take effect at any time, so the role
+    // is not held with this token again.
+    std::map<std::string, std::int64_t> open_releases_;
 };
 
 } // namespace jl::store
--- a/src/store/role_test.cpp
+++ b/src/store/role_test.cpp
@@ -110,6 +110,24 @@
     }
 }
 
+// Guards against a holder that goes on with a role although its release may take effect later.
+TEST(process_lease, role_whose_release_has_no_answer_is_not_held_again)
+{
+    two_processes test;
+    const auto token = test.first.acquire("planner");
+    ASSERT_TRUE(token);
+    test.store.inject(store_fault::unavailable, 1);
+    test.first.release("planner");
+    const auto again = test.first.acquire("planner");
+    EXPECT_NE(again, token);
+    // The release takes effect now.
+    test.store.commit(
+        {{process_lease::fence("planner", *token)}, {remove("/jl/owners/planner")}, {}}, {});
+    const auto next = test.first.acquire("planner");
+    ASSERT_TRUE(next);
+    EXPECT_TRUE(test.writes_with(*next));
+}
+
 // Guards against a released role that its next holder has to wait for.
 TEST(process_lease, released_role_is_free_at_once)
 {
