Limit the depth of JSON from operators, callers, platform and store

Values of JSON are copied and dumped recursively. A document with some 100,000 nested arrays in one field ended the administration process when it was checked, and such an answer of the platform ended the planner or an entry when it was read: the stack was exhausted.

parse_json in src/base/json_text.h is now the one place where such text is parsed. It rejects text nested more deeply than 64 levels, as it rejects text that is not JSON. Documents, records, the store's answers and watches, the platform's answers and the bodies of both HTTP interfaces go through it. CBOR between processes has such a limit already (peers/cbor_depth.cpp).

--- a/src/callers/caller_api.cpp
+++ b/src/callers/caller_api.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/ids.h"
+#include "base/json_text.h"
 
 namespace jl::callers {
 
@@ -426,7 +427,7 @@
 
     http::response cancel_many(const http::request& request) const
     {
-        const auto document = json::parse(request.body, nullptr, false);
+        const auto document = parse_json(request.body);
         const auto list = document.is_object() ? document.find("ids") : document.end();
         if (!document.is_object() || list == document.end() || !list->is_array() ||
             list->size() > max_ids_per_cancellation) {
--- a/src/objects/diff.cpp
+++ b/src/objects/diff.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "objects/fields.h"
 
 namespace jl::objects {
@@ -34,7 +35,7 @@
 std::map<std::string, object_fields_map> read_document(std::string_view text)
 {
     std::map<std::string, object_fields_map> objects;
-    const auto document = json::parse(text, nullptr, false);
+    const auto document = parse_json(text);
     if (!document.is_object() || !document.contains("objects")) {
         return objects;
     }
--- a/src/objects/objects.cpp
+++ b/src/objects/objects.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace jl::objects {
 
 namespace {
@@ -61,7 +63,7 @@
 
 std::optional<published_configuration> parse_published(std::string_view text)
 {
-    const auto value = nlohmann::json::parse(text, nullptr, false);
+    const auto value = parse_json(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
--- a/src/objects/objects_test.cpp
+++ b/src/objects/objects_test.cpp
@@ -5,6 +5,18 @@
 namespace jl::objects {
 namespace {
 
+// Guards against a process that ends because a nested value exhausts its stack.
+TEST(parse_objects, rejects_deeply_nested_values)
+{
+    constexpr std::size_t levels = 500000;
+    const auto text = R"({"format": 1, "objects": [{"kind": "pool", "name": "a", "spare": )" +
+                      std::string(levels, '[') + std::string(levels, ']') + "}]}";
+    std::vector<object_error> errors;
+    EXPECT_FALSE(parse_objects(text, errors));
+    EXPECT_FALSE(errors.empty());
+    EXPECT_FALSE(parse_published(text));
+}
+
 // Guards against publishing a set with dangling references: all faults are reported, none applied.
 TEST(parse_objects, reports_every_fault)
 {
--- a/src/objects/parse.cpp
+++ b/src/objects/parse.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "objects/fields.h"
 #include "objects/objects.h"
 
@@ -278,7 +279,7 @@
 std::optional<object_set> parse_objects(std::string_view text, std::vector<object_error>& errors)
 {
     const auto errors_before = errors.size();
-    const json document = json::parse(text, nullptr, false);
+    const json document = parse_json(text);
     if (!document.is_object()) {
         errors.push_back({"document", "", "expected a JSON object"});
         return std::nullopt;
--- a/src/operators/admin_api.cpp
+++ b/src/operators/admin_api.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/ids.h"
+#include "base/json_text.h"
 #include "objects/feasibility.h"
 #include "operators/admin_json.h"
 
@@ -169,7 +170,7 @@
 // State of a wave asked for in the body {"state": "paused"}.
 std::optional<records::wave_state> read_wave_state(const std::string& body)
 {
-    const auto value = json::parse(body, nullptr, false);
+    const auto value = parse_json(body);
     if (!value.is_object() || !value.contains("state") || !value["state"].is_string()) {
         return std::nullopt;
     }
@@ -390,7 +391,7 @@
         return configuration_failure();
     }
     auto body = api_json(*current);
-    body["document"] = json::parse(current->document, nullptr, false);
+    body["document"] = parse_json(current->document);
     if (body["document"].is_discarded()) {
         body["document"] = nullptr;
     }
@@ -479,7 +480,7 @@
         return configuration_failure();
     }
     auto body = api_json(*entry);
-    body["document"] = json::parse(entry->document, nullptr, false);
+    body["document"] = parse_json(entry->document);
     return answer(body);
 }
 
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "http/client.h"
 #include "platform/platform.h"
 
@@ -56,7 +57,7 @@
                                                : platform_error_code::outcome_unknown,
                               path + ": " + error.message);
     }
-    auto value = json::parse(answer->body, nullptr, false);
+    auto value = parse_json(answer->body);
     if (answer->status == 200 && !value.is_discarded()) {
         return value;
     }
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -56,5 +56,17 @@
     }
 }
 
+// Guards against a process that ends because a nested value of the list exhausts its stack.
+TEST_F(http_platform, deeply_nested_list_is_malformed)
+{
+    constexpr std::size_t levels = 300000;
+    answer = http::json_response(
+        200, R"({"vms": [{"vm": "vm1", "address": "127.0.0.1:1", "data_centre": "d", "rack": "r",)"
+             R"("state": "live", "boot_id": 1, "resources": {"cores": 1, "other": )" +
+                 std::string(levels, '[') + std::string(levels, ']') + "}}]}");
+    EXPECT_FALSE(api.list->fetch(deadline()));
+    EXPECT_EQ(last_error().code, platform_error_code::malformed);
+}
+
 } // namespace
 } // namespace jl::platform
--- a/src/records/operator_records.cpp
+++ b/src/records/operator_records.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "records/records.h"
 
 namespace jl::records {
@@ -21,7 +22,7 @@
 template <typename Record, typename Function>
 std::optional<Record> parse(std::string_view text, Function read)
 {
-    const auto value = json::parse(text, nullptr, false);
+    const auto value = parse_json(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace jl::records {
 
 namespace {
@@ -77,7 +79,7 @@
 template <typename Record, typename Function>
 std::optional<Record> parse_record(std::string_view text, Function read)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parse_json(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
--- a/src/records/tasks.cpp
+++ b/src/records/tasks.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace jl::records {
 
 namespace {
@@ -63,7 +65,7 @@
 
 std::optional<task_record> parse_task(std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parse_json(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
+#include "base/json_text.h"
 #include "http/client.h"
 #include "store/etcd_codec.h"
 
@@ -90,7 +91,7 @@
             auto& stream = session_.receiveResponse(head);
             std::string line;
             while (active_ && std::getline(stream, line)) {
-                if (!handle(json::parse(line))) {
+                if (!handle(parse_json(line))) {
                     break;
                 }
             }
@@ -218,7 +219,7 @@
 
     static std::optional<json> read_answer(const http::response& answer)
     {
-        auto value = json::parse(answer.body, nullptr, false);
+        auto value = parse_json(answer.body);
         if (answer.status == 200 && value.is_object()) {
             return value;
         }
