--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "http/client.h"
 #include "platform/platform.h"
 
@@ -21,6 +22,22 @@
     return error;
 }
 
+platform_error_code classify(int status)
+{
+    constexpr int not_found = 404;
+    constexpr int first_server_error = 500;
+    constexpr int service_unavailable = 503;
+    switch (status) {
+    case not_found:
+        return platform_error_code::not_found;
+    case service_unavailable:
+        return platform_error_code::unavailable;
+    default:
+        return status >= first_server_error ? platform_error_code::outcome_unknown
+                                            : platform_error_code::refused;
+    }
+}
+
 // Sends one request and returns the JSON body of a 200 response. On failure sets last_error() and
 // returns nullopt.
 std::optional<json> call(http::client& client, const std::string& method, const std::string& path,
@@ -40,17 +57,14 @@
                                                : platform_error_code::outcome_unknown,
                               path + ": " + error.message);
     }
-    auto value = json::parse(answer->body, nullptr, false);
+    auto value = parse_json(answer->body);
     if (answer->status == 200 && !value.is_discarded()) {
         return value;
     }
     if (answer->status == 200) {
         return internal::fail(platform_error_code::malformed, path + ": the answer is not JSON");
     }
-    const auto code = answer->status == 404   ? platform_error_code::not_found
-                      : answer->status >= 500 ? platform_error_code::unavailable
-                                              : platform_error_code::refused;
-    return internal::fail(code, path + ": " + answer->body);
+    return internal::fail(classify(answer->status), path + ": " + answer->body);
 }
 
 vm_resources read_resources(const json& value)
@@ -197,7 +211,12 @@
         if (!answer) {
             return std::nullopt;
         }
-        return answer->value("checkpoint", "");
+        try {
+            return answer->value("checkpoint", "");
+        }
+        catch (const json::exception& error) {
+            return internal::fail(platform_error_code::malformed, error.what());
+        }
     }
 
     bool stop(const std::string& vm, const std::string& task, std::int64_t fencing_token,
@@ -233,8 +252,9 @@
         for (const auto& entry : item.at("tasks")) {
             task_report task;
             task.task = entry.at("task").get<std::string>();
-            task.state =
-                parse_task_state(entry.at("state").get<std::string>()).value_or(task_state::failed);
+            // A state that we do not know is no end: the task would be started a second time.
+            task.state = parse_task_state(entry.at("state").get<std::string>())
+                             .value_or(task_state::running);
             task.used = read_resources(entry.value("used", json::object()));
             task.checkpoint = entry.value("checkpoint", "");
             task.fencing_token = entry.value("fencing_token", std::int64_t{0});
--- a/src/requests/durable_requests_test.cpp
+++ b/src/requests/durable_requests_test.cpp
@@ -71,6 +71,34 @@
     EXPECT_EQ(deployment.executions.runs["k1"], 1);
 }
 
+// Guards against "not run" for a key whose earlier call may have run.
+TEST(durable_requests, key_stays_unknown_when_its_repetition_does_not_run)
+{
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    const auto call = deployment.make_call("k1", true);
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::unknown; };
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::unknown);
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::not_run; };
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::unknown);
+    EXPECT_EQ(deployment.stored("k1").state, request_state::unknown);
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::answered; };
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::answered);
+}
+
+// Guards against a second run that the caller has ruled out for its repeated key.
+TEST(durable_requests, call_that_is_not_idempotent_does_not_repeat_an_idempotent_one)
+{
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    entry.engine.choose_outcome = [](const requests::call&) { return outcome::unknown; };
+    EXPECT_EQ(entry.durable->execute_once(deployment.make_call("k1", true)).result,
+              outcome::unknown);
+    EXPECT_EQ(entry.durable->execute_once(deployment.make_call("k1", false)).result,
+              outcome::unknown);
+    EXPECT_EQ(deployment.executions.runs["k1"], 1);
+}
+
 // Guards against a claim that stays "running" for a day after its holder was killed.
 TEST(durable_requests, claim_of_a_killed_holder_becomes_unknown)
 {
@@ -187,5 +215,34 @@
     EXPECT_EQ(deployment.queued(), 0U);
 }
 
+// Guards against a request shown as not started, or accepted anew, although an attempt without an
+// answer may have run.
+TEST(durable_requests, request_that_may_have_run_neither_expires_nor_is_cancelled)
+{
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    entry.engine.choose_outcome = [](const call&) { return outcome::unknown; };
+    auto expiring = deployment.make_call("d1", true);
+    expiring.deadline = deployment.clock.steady_now() + seconds(4);
+    const auto lasting = deployment.make_call("d2", true);
+    deployment.run(seconds(2));
+    for (const auto& call : {expiring, lasting}) {
+        EXPECT_EQ(entry.durable->accept_deferred(call).result, outcome::accepted);
+    }
+    while (deployment.executions.runs["d1"] * deployment.executions.runs["d2"] == 0) {
+        deployment.run(std::chrono::milliseconds(250));
+    }
+    entry.engine.has_room = false;
+    EXPECT_TRUE(entry.durable->cancel({"d2"}).empty());
+    deployment.run(seconds(6));
+    EXPECT_TRUE(entry.durable->cancel({"d2"}).empty());
+    entry.engine.choose_outcome = [](const call&) { return outcome::answered; };
+    entry.engine.has_room = true;
+    deployment.run(seconds(6));
+    EXPECT_EQ(deployment.stored("d1").state, request_state::unknown);
+    EXPECT_EQ(deployment.stored("d2").state, request_state::answered);
+    EXPECT_EQ(deployment.queued(), 0U);
+}
+
 } // namespace
 } // namespace jl::requests::testing
