Ask a worker for reports until it has survived its last start

Callers would see: a job with a task that is suspected of crashing its workers stays in `running` for ever beside idle workers, if the only worker left for the task refused its last start, or ended it within 200 ms.

Cause: an isolated start waits until the worker has answered 200 ms after the last start on it. A session asks for reports only while tasks are assigned to the worker. If the last answer came earlier than that and nothing is assigned, nobody asks again, so the wait never ends.

Mend: the session stays in use until the worker has answered decisions::crash_window after the last start on it.

Evidence: the new test failed on the code before in 4 of its 24 phases (submission after 150, 200, 250 and 300 ms); jobs_test passes with it.

--- a/src/jobs/crashing_tasks_test.cpp
+++ b/src/jobs/crashing_tasks_test.cpp
@@ -380,6 +380,29 @@
     EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 12s));
 }
 
+// Guards against a suspect that waits for ever for an idle worker to survive its last start:
+// nothing asked that worker any more.
+TEST(crashing_tasks, suspect_gets_an_idle_worker_that_refused_its_last_start)
+{
+    for (int phase_ms = 0; phase_ms < 1200; phase_ms += 50) {
+        SCOPED_TRACE("the other job is submitted after " + std::to_string(phase_ms) + " ms");
+        test_fleet fleet{2};
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        const auto lost = await_worker_of(fleet, crashing_task);
+        const std::string left = lost == "w0" ? "w1" : "w0";
+        fleet.workers.crash(lost);
+        fleet.timers.run_for(2900ms + milliseconds(phase_ms));
+        ASSERT_EQ(fleet.submit(make_job("00000000000000a2", 1, 1)), submit_outcome::accepted);
+        ASSERT_TRUE(fleet.await_state("00000000000000a2", job_state::completed, 10s));
+        fleet.workers.refuse_starts(left, order_status::no_room);
+        fleet.timers.run_for(4s);
+        fleet.workers.refuse_starts(left, order_status::accepted);
+        EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 6s));
+    }
+}
+
 // Guards against a start without an answer that is not repeated, because evidence was being
 // recorded when the repetition was due. The task stayed in its start for ever.
 TEST(crashing_tasks, unanswered_start_is_repeated_while_evidence_is_recorded)
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -22,7 +22,13 @@
 bool task_runner::in_use(const worker_session& session) const
 {
     const auto found = worker_handles_.find(session.info().id);
-    return found != worker_handles_.end() && !found->second.assigned.empty();
+    if (found == worker_handles_.end()) {
+        return false;
+    }
+    // An isolated start waits until the worker is known to have survived the last start on it.
+    const auto& handle = found->second;
+    return !handle.assigned.empty() ||
+           session.last_alive() < handle.last_start_at + decisions::crash_window;
 }
 
 void task_runner::on_fenced(worker_session& session)
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -52,7 +52,8 @@
     virtual void on_lost(worker_session& session, loss_cause cause) = 0;
     // The worker refused a request because it has seen the fencing token of a newer leader.
     virtual void on_fenced(worker_session& session) = 0;
-    // Returns true while tasks are believed to run on the worker.
+    // Returns true while tasks are believed to run on the worker, or may just have crashed it. The
+    // session asks for reports until it is not in use any more.
     virtual bool in_use(const worker_session& session) const = 0;
 };
 
