Take no bytes from before a request for its answer

Callers would see: after a server had answered one request twice, or had sent bytes on an idle connection, the next request on that connection got the surplus answer, and each later one that of its predecessor if the connection stayed in step. An order to a worker, or a write to the store, would count as accepted or refused on the word of another one.

Cause: async_client dropped surplus bytes only if the event for them was handled while the connection was idle and they were a whole answer. A part of an answer stayed in the buffer of the idle connection, and bytes that had not been read yet were read after the next request had been sent.

Mend: bytes without a request, or before the first byte of a request has been sent, close the connection; before a request is sent on an idle connection, unread bytes are looked for. The request is then reported as not sent and doesn't move to another connection, because callers of has_idle_connection() rely on that.

--- a/src/net/async_client.cpp
+++ b/src/net/async_client.cpp
@@ -163,12 +163,23 @@
             conn->call_began = boot_clock::now();
             conn->bytes_written = 0;
             conn->any_byte_sent = false;
-            if (conn->connected) {
+            if (conn->connected && has_unread_bytes(*conn)) {
+                close_and_report(conn, http::client_error_code::malformed,
+                                 "received bytes before the request");
+            }
+            else if (conn->connected) {
                 write(conn);
             }
         }
     }
 
+    // Bytes that arrived before a request cannot be its answer.
+    static bool has_unread_bytes(const connection& conn)
+    {
+        char byte = 0;
+        return recv(conn.socket.get(), &byte, sizeof byte, MSG_PEEK) > 0;
+    }
+
     connection_ptr idle_connection()
     {
         for (const auto& conn : connections_) {
@@ -333,6 +344,13 @@
 
     void handle_response(const connection_ptr& conn)
     {
+        if (!conn->call || !conn->any_byte_sent) {
+            if (!conn->input.empty()) {
+                close_and_report(conn, http::client_error_code::malformed,
+                                 "received bytes without a request");
+            }
+            return;
+        }
         auto response = conn->input.take_response();
         if (!response) {
             if (conn->input.error() != framing_error::none) {
@@ -341,11 +359,6 @@
             }
             return;
         }
-        if (!conn->call) {
-            close_and_report(conn, http::client_error_code::malformed,
-                             "received a response without a request");
-            return;
-        }
         const auto call = std::move(conn->call);
         conn->call = nullptr;
         loop_.cancel(call->timer);
--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
@@ -259,6 +260,129 @@
     std::thread thread_;
 };
 
+// A server on the loop of the test that sends what the test tells it to, byte for byte.
+class scripted_server {
+public:
+    using receiver = std::function<void(int connection, const std::string& bytes)>;
+
+    // `on_bytes` is called with each chunk that arrives; connections are numbered from 0.
+    scripted_server(event_loop& loop, receiver on_bytes)
+        : loop_(loop),
+          on_bytes_(std::move(on_bytes)),
+          listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        const bool ready = ::bind(listener_.get(), generic, size) == 0 &&
+                           ::listen(listener_.get(), 8) == 0 &&
+                           ::getsockname(listener_.get(), generic, &size) == 0;
+        if (!ready) {
+            throw std::system_error(errno, std::generic_category(), "listen");
+        }
+        port_ = ntohs(address.sin_port);
+        loop_.watch(listener_.get(), EPOLLIN, [this](std::uint32_t) { accept(); });
+    }
+    ~scripted_server()
+    {
+        loop_.unwatch(listener_.get());
+        for (const auto& connection : connections_) {
+            loop_.unwatch(connection.get());
+        }
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    std::uint16_t port() const { return port_; }
+    void send(int connection, const std::string& bytes)
+    {
+        const auto& socket = connections_.at(static_cast<std::size_t>(connection));
+        EXPECT_EQ(::send(socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+
+private:
+    void accept()
+    {
+        const int number = static_cast<int>(connections_.size());
+        connections_.emplace_back(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK));
+        loop_.watch(connections_.back().get(), EPOLLIN, [this, number](std::uint32_t) {
+            std::array<char, 1024> chunk{};
+            const int socket = connections_.at(static_cast<std::size_t>(number)).get();
+            const auto count = ::recv(socket, chunk.data(), chunk.size(), 0);
+            if (count > 0) {
+                on_bytes_(number, std::string(chunk.data(), static_cast<std::size_t>(count)));
+            }
+            else {
+                loop_.unwatch(socket);
+            }
+        });
+    }
+
+    event_loop& loop_;
+    receiver on_bytes_;
+    unique_fd listener_;
+    std::uint16_t port_ = 0;
+    std::vector<unique_fd> connections_;
+};
+
+std::string answer_with(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns the body of the answer, or the error.
+std::string text_of(const exchange_result& result)
+{
+    return result.answer ? result.answer->body : result.error.message;
+}
+
+// Guards against a second answer to one request that is taken for the answer to the next one. It
+// was on the connection, whole or in part, before the next request was sent.
+TEST(async_client, surplus_answer_is_not_taken_for_the_answer_to_the_next_request)
+{
+    const auto surplus = answer_with("surplus");
+    for (const auto sent_before : {surplus.size(), std::size_t{10}}) {
+        for (const bool seen_before : {false, true}) {
+            SCOPED_TRACE(std::to_string(sent_before) + (seen_before ? " seen" : " not seen"));
+            event_loop loop;
+            int requests = 0;
+            scripted_server server(loop, [&](int connection, const std::string&) {
+                const auto rest =
+                    requests == 1 && connection == 0 ? surplus.substr(sent_before) : "";
+                ++requests;
+                server.send(connection, rest + answer_with(std::to_string(requests)));
+            });
+            async_client client(loop, {"127.0.0.1", server.port()}, limits_with_max_connections(1));
+            std::vector<std::string> texts;
+            std::function<void()> send_next = [&] {
+                client.exchange(http::request{}, 2s, [&](const exchange_result& result) {
+                    texts.push_back(text_of(result));
+                    if (texts.size() == 1) {
+                        server.send(0, surplus.substr(0, sent_before));
+                    }
+                    if (texts.size() == 3) {
+                        loop.stop();
+                    }
+                    else if (texts.size() == 1 && seen_before) {
+                        loop.call_after(20ms, send_next);
+                    }
+                    else {
+                        send_next();
+                    }
+                });
+            };
+            send_next();
+            loop.run();
+            EXPECT_EQ(texts[0], "1");
+            EXPECT_THAT(texts[1], testing::Not(testing::StartsWith("surplus")));
+            EXPECT_THAT(texts[2], testing::AnyOf("2", "3"));
+        }
+    }
+}
+
 // Load pattern: hundreds of workers answer at about the same time, so the loop is busy with other
 // events when an answer arrives and its deadline passes. Guards against peers that are taken for
 // unreachable because this process lags.
