Close a connection whose request was answered before it was sent

Callers would see: a request after one that the server had answered early (413 or 503 to a large body) got no answer in time.

Cause: the connection was used again although the rest of the earlier request had not been sent; the server took the next request for that rest.

Mend: such a connection is closed after the answer.

Evidence: request_does_not_follow_one_that_was_not_sent_to_its_end failed before with "no answer in time".

--- a/src/net/async_client.cpp
+++ b/src/net/async_client.cpp
@@ -362,7 +362,8 @@
         const auto call = std::move(conn->call);
         conn->call = nullptr;
         loop_.cancel(call->timer);
-        if (wants_close(response->headers) || !conn->input.empty()) {
+        const bool sent_to_its_end = conn->bytes_written == call->request_bytes.size();
+        if (!sent_to_its_end || wants_close(response->headers) || !conn->input.empty()) {
             close(conn);
         }
         exchange_result result;
--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -383,6 +384,34 @@
     }
 }
 
+// Guards against the use of a connection whose last request was answered before it had been sent
+// to the end: the server would take the next request for the rest of that one.
+TEST(async_client, request_does_not_follow_one_that_was_not_sent_to_its_end)
+{
+    event_loop loop;
+    std::vector<int> answered; // connections
+    scripted_server server(loop, [&](int connection, const std::string&) {
+        if (std::find(answered.begin(), answered.end(), connection) == answered.end()) {
+            answered.push_back(connection);
+            server.send(connection, answer_with(std::to_string(connection)));
+        }
+    });
+    async_client client(loop, {"127.0.0.1", server.port()}, limits_with_max_connections(1));
+    std::vector<std::string> texts;
+    const auto on_result = [&](const exchange_result& result) {
+        texts.push_back(text_of(result));
+        if (texts.size() == 2) {
+            loop.stop();
+        }
+    };
+    http::request large;
+    large.body = std::string(32U << 20U, 'x'); // more than the buffers of the sockets hold
+    client.exchange(large, 5s, on_result);
+    client.exchange(http::request{}, 2s, on_result);
+    loop.run();
+    EXPECT_THAT(texts, testing::ElementsAre("0", "1"));
+}
+
 // Load pattern: hundreds of workers answer at about the same time, so the loop is busy with other
 // events when an answer arrives and its deadline passes. Guards against peers that are taken for
 // unreachable because this process lags.
