Skip interim answers

Callers would see: an answer with status 103 for the answer to their request, if it states a Content-Length, and the real one without a request or as the answer to the next one; otherwise a malformed answer.

Cause: take_response() took 1xx answers for final ones.

Mend: it skips them.

Evidence: skips_interim_answers failed before.

--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -486,6 +486,25 @@
     EXPECT_TRUE(buffer.empty());
 }
 
+// Guards against an interim answer that is taken for the answer to the request; the answer would
+// then be taken for the one to the next request.
+TEST(http_framing, skips_interim_answers)
+{
+    message_buffer buffer(1024, 1024);
+    const std::string bytes = "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n";
+    buffer.append(bytes.data(), bytes.size());
+    EXPECT_FALSE(buffer.take_response());
+    EXPECT_EQ(buffer.error(), framing_error::none);
+    const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    buffer.append(last.data(), last.size());
+    const auto response = buffer.take_response();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, "ok");
+    EXPECT_TRUE(buffer.empty());
+}
+
 TEST(http_framing, rejects_oversized_and_chunked_messages)
 {
     const auto error_of = [](const std::string& bytes) {
--- a/src/net/http_framing.cpp
+++ b/src/net/http_framing.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr int first_final_status = 200;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 
@@ -106,6 +107,15 @@
 }
 
 std::optional<http::response> message_buffer::take_response()
+{
+    auto response = take_interim_or_final_response();
+    while (response && response->status < first_final_status) {
+        response = take_interim_or_final_response();
+    }
+    return response;
+}
+
+std::optional<http::response> message_buffer::take_interim_or_final_response()
 {
     const auto head_bytes = head_size();
     if (!head_bytes) {
@@ -116,7 +126,8 @@
         std::istringstream input(bytes_.substr(0, *head_bytes));
         parsed.read(input);
         const int status = parsed.getStatus();
-        const bool bodyless = status == no_content || status == not_modified;
+        const bool bodyless =
+            status < first_final_status || status == no_content || status == not_modified;
         if (!bodyless && !parsed.hasContentLength()) {
             error_ = framing_error::length_required;
             return std::nullopt;
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -21,6 +21,7 @@
 
     // Removes the next complete message from the buffer and returns it. Returns nothing if more
     // bytes are needed (error() is `none`) or if the message is rejected (error() says why).
+    // Skips interim responses (1xx).
     std::optional<http::request> take_request();
     std::optional<http::response> take_response();
     framing_error error() const { return error_; }
@@ -28,6 +29,7 @@
 private:
     // Size of the start line and headers including the empty line; nothing if they are incomplete.
     std::optional<std::size_t> head_size();
+    std::optional<http::response> take_interim_or_final_response();
     std::optional<std::string> take_body(std::size_t head_bytes, std::size_t length);
 
     std::size_t max_head_bytes_;
