Do not take a rejected stop for the end of an open start

A task would run twice: a start had got no answer, its repetition was refused, and the worker answered the stop with a status that we read as `rejected` (400, or one that we do not know). That counted as a settled stop, the task was released and started elsewhere, and the worker, which had not noted the stop, carried out the first attempt.

A rejected stop is now settled only if no attempt to start the run is open; otherwise it is repeated, at most until the open start expires. Both uses, tasks and strays, share the rule.

unanswered_starts_test.rejected_stop_does_not_settle_an_open_start failed before.

--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -28,13 +28,6 @@
 // all earlier terms.
 constexpr std::int64_t runs_per_term = 1000;
 
-// True if the run has been stopped, or the worker has no such run and will reject it.
-bool is_stop_settled(order_status status)
-{
-    return status == order_status::accepted || status == order_status::superseded ||
-           status == order_status::rejected;
-}
-
 } // namespace
 
 worker_identity identity_of(const worker_handle& handle)
@@ -457,7 +450,7 @@
         if (stopped == nullptr) {
             return;
         }
-        const bool settled = is_stop_settled(result.status);
+        const bool settled = is_stop_settled(name, run, worker, result.status);
         if (settled) {
             stopped->order_confirmed_at = timers_.now();
         }
@@ -512,7 +505,7 @@
     if (handle == nullptr) {
         return;
     }
-    const bool settled = is_stop_settled(result.status);
+    const bool settled = is_stop_settled(name, run, worker, result.status);
     if (settled) {
         handle->strays.at(name.to_string()).stop_confirmed_at = timers_.now();
     }
@@ -570,6 +563,14 @@
     return found == open_starts_.end() ? 0 : found->second.attempts(name, run);
 }
 
+// A worker that rejects a stop has no such run, but it may still carry out an open start of it.
+bool task_runner::is_stop_settled(const task_name& name, std::int64_t run,
+                                  const std::string& worker, order_status status) const
+{
+    return status == order_status::accepted || status == order_status::superseded ||
+           (status == order_status::rejected && open_attempts(name, run, worker) == 0);
+}
+
 void task_runner::expire_open_starts()
 {
     for (auto next = open_starts_.begin(); next != open_starts_.end();) {
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -185,6 +185,9 @@
     bool pace_repeat_due(const task& target) const;
     bool start_is_open(const task& target) const;
     int open_attempts(const task_name& name, std::int64_t run, const std::string& worker) const;
+    // True if a stop with this result has ended the run, and no start can begin it any more.
+    bool is_stop_settled(const task_name& name, std::int64_t run, const std::string& worker,
+                         order_status status) const;
     void expire_open_starts();
     void on_stray_stopped(const task_name& name, std::int64_t run, const std::string& worker,
                           const order_result& result);
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -421,6 +421,10 @@
         result.status = order_status::fenced;
         return result;
     }
+    if (worker.answer_to_stops != order_status::accepted) {
+        result.status = worker.answer_to_stops;
+        return result;
+    }
     const auto name = order.task.to_string();
     auto& highest = worker.highest_ended_run[name];
     highest = std::max(highest, order.run);
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -59,6 +59,12 @@
     {
         state(id).answer_to_starts = reason;
     }
+    // From now on the worker answers each stop with this status and does not carry it out;
+    // `accepted` ends this.
+    void refuse_stops(const std::string& id, order_status reason)
+    {
+        state(id).answer_to_stops = reason;
+    }
     // Changes the worker's capacity and returns its new registration.
     worker_registration resize(const std::string& id, task_resources capacity);
     const worker_registration& registration(const std::string& id) const
@@ -136,6 +142,7 @@
         bool up = true;
         worker_mode mode = worker_mode::answering;
         order_status answer_to_starts = order_status::accepted;
+        order_status answer_to_stops = order_status::accepted;
         std::int64_t token = 0;
         std::map<std::string, active_run> active; // by task name
         std::map<std::string, std::int64_t> highest_ended_run;
--- a/src/jobs/unanswered_starts_test.cpp
+++ b/src/jobs/unanswered_starts_test.cpp
@@ -72,6 +72,20 @@
                                            order_status::lease_too_late),
                          [](const auto& info) { return to_string(info.param); });
 
+// Guards against a task that runs twice: the worker rejected the order to stop it, which was taken
+// for the end of all attempts to start it.
+TEST_F(unanswered_starts_test, rejected_stop_does_not_settle_an_open_start)
+{
+    start_without_an_answer();
+    fleet.workers.refuse_starts("w0", order_status::no_room);
+    fleet.workers.refuse_stops("w0", order_status::rejected);
+    fleet.timers.run_for(800ms);
+    fleet.workers.refuse_starts("w0", order_status::accepted);
+    fleet.timers.run_for(1500ms);
+    fleet.workers.refuse_stops("w0", order_status::accepted);
+    expect_completion_without_violation();
+}
+
 class restart_with_open_start : public unanswered_starts_test,
                                 public ::testing::WithParamInterface<milliseconds> {};
 
