Settle no order by an answer that may be of a worker's former incarnation

An answer without an incarnation is now used only if the worker has not restarted since the order was sent. worker_session_test.answer_without_an_incarnation_settles_no_order_sent_before_a_restart failed before.

--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -38,6 +38,16 @@
                                                   slowest_clock_rate));
 }
 
+// True if the answer does not name its incarnation, and the worker has restarted since the order
+// was sent.
+bool may_be_of_former_incarnation(const order_result& result, std::int64_t incarnation_when_sent,
+                                  std::int64_t present_incarnation)
+{
+    const bool reached_worker = result.status != order_status::not_sent;
+    return reached_worker && result.started_at_ms == 0 &&
+           incarnation_when_sent != present_incarnation;
+}
+
 } // namespace
 
 const char* to_string(loss_cause cause)
@@ -317,18 +327,19 @@
 }
 
 // Returns a callback that records the worker's clock and incarnation from an answer before it calls
-// `done`. An answer of an earlier incarnation is passed on as none.
+// `done`. An answer that an earlier incarnation has given or may have given is passed on as none.
 std::function<void(const order_result&)>
 worker_session::with_result_recorded(std::function<void(const order_result&)> done)
 {
-    return [this, alive = alive_, sent_at = timers_.now(),
+    return [this, alive = alive_, sent_at = timers_.now(), incarnation_when_sent = born_,
             done = std::move(done)](const order_result& result) {
         if (!*alive) {
             return;
         }
         record_round_trip(result, sent_at);
         record_loss(result);
-        if (of_former_incarnation(result)) {
+        if (of_former_incarnation(result) ||
+            may_be_of_former_incarnation(result, incarnation_when_sent, born_)) {
             done(order_result{}); // it says nothing about the present incarnation
             return;
         }
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -24,6 +24,7 @@
     milliseconds hold_margin{0};  // by which the last hold's time-out exceeds its wait
     int holds_to_lose = 0;        // that get no answer
     std::int64_t incarnation = 1; // that answers
+    bool orders_name_incarnation = true;
 };
 
 // Counts the orders that are sent to the worker and accepts them.
@@ -74,8 +75,11 @@
 private:
     void accept(std::function<void(const order_result&)> done)
     {
-        timers_.call_after(answer_delay,
-                           [done = std::move(done), result = accepted()] { done(result); });
+        auto result = accepted();
+        if (!received_.orders_name_incarnation) {
+            result.started_at_ms = 0;
+        }
+        timers_.call_after(answer_delay, [done = std::move(done), result] { done(result); });
     }
 
     order_result accepted() const
@@ -206,6 +210,23 @@
     EXPECT_EQ(outcome, order_status::unanswered);
 }
 
+// Guards against the same if the answer does not say which incarnation has sent it.
+TEST_F(worker_session_test, answer_without_an_incarnation_settles_no_order_sent_before_a_restart)
+{
+    received.orders_name_incarnation = false;
+    std::optional<order_status> outcome;
+    const auto record_outcome = [&outcome](const order_result& result) { outcome = result.status; };
+    session->stop({}, record_outcome);
+    info.started_at_ms = 2;
+    received.incarnation = 2;
+    session->update(info);
+    timers.run_for(answer_delay);
+    EXPECT_EQ(outcome, order_status::unanswered);
+    session->stop({}, record_outcome);
+    timers.run_for(answer_delay);
+    EXPECT_EQ(outcome, order_status::accepted);
+}
+
 // Guards against ends of the present incarnation that are taken for known, because a late report of
 // the former one had higher numbers.
 TEST_F(worker_session_test, report_of_a_former_incarnation_is_not_used)
