Show the fencing token to a restarted worker at once

A task would run again after its end: a start of the former leader without an answer was carried out by the next incarnation of its worker, which had not heard of the present leader. The present leader knew of the restart from the registration, but sent nothing to a worker without tasks, so that the worker took the former leader's fencing token for a valid one. The present leader cannot know the open starts of the former one; only the token keeps them out.

The session now asks for a report once it learns of the restart, as it does with a new worker. unanswered_starts_test.start_of_a_former_leader_is_fenced_after_a_restart failed before.

--- a/src/jobs/unanswered_starts_test.cpp
+++ b/src/jobs/unanswered_starts_test.cpp
@@ -20,12 +20,12 @@
 
 class unanswered_starts_test : public ::testing::Test {
 protected:
-    // Sends attempts of the task's start to worker w0, which carries them out three seconds later.
-    // Later starts can only go to w1.
-    void start_without_an_answer()
+    // Sends attempts of the task's start to worker w0, which carries them out after `delay`. Later
+    // starts can only go to w1.
+    void start_without_an_answer(milliseconds delay = 3000ms)
     {
         fleet.workers.default_plan.duration = 1500ms;
-        fleet.workers.late_order_delay = 3000ms;
+        fleet.workers.late_order_delay = delay;
         fleet.add_node("a");
         ASSERT_TRUE(fleet.await_leader());
         fleet.timers.run_for(100ms);
@@ -108,5 +108,21 @@
                              return "after_" + std::to_string(info.param.count()) + "_ms";
                          });
 
+// Guards against a task that runs again after its end: a start of a former leader reaches the new
+// incarnation of its worker, which has not seen the present leader's fencing token yet.
+TEST_F(unanswered_starts_test, start_of_a_former_leader_is_fenced_after_a_restart)
+{
+    start_without_an_answer(8s);
+    fleet.kill("a");
+    fleet.add_node("b");
+    ASSERT_TRUE(fleet.await_leader());
+    ASSERT_TRUE(fleet.await_state(job_id, job_state::completed, 4s));
+    fleet.workers.restart("w0");
+    fleet.list_worker(fleet.workers.registration("w0"));
+    fleet.timers.run_for(8s);
+    expect_completion_without_violation();
+    EXPECT_EQ(fleet.workers.start_count(only_task), 1);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -95,7 +95,11 @@
     const auto started_at_ms = born_;
     info_ = info;
     if (info.started_at_ms > started_at_ms && started_at_ms != 0) {
+        const auto alive = alive_;
         record_result(order_result{order_status::accepted, std::nullopt, info.started_at_ms});
+        if (*alive) {
+            request_report(); // carries the fencing token, which the new incarnation does not know
+        }
     }
 }
 
