Stop all members of a gang that an earlier run has completed

Members of a gang would run on, or begin, after their job was completed: the end `done` of an earlier run of the gang was reported late and completed it, but only the member that reported was stopped in its present run. The others were taken off their workers without an order, so that a start without an answer could still begin, and a run went on until its lease expired.

The present runs of all members are now stopped and tracked as strays. engine.late_end_of_a_gang_stops_all_members_of_its_present_run failed before.

--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -518,6 +518,29 @@
     EXPECT_EQ(fleet.workers.start_count(repeated.id + ".0.0.0"), 1);
 }
 
+// Guards against members of a gang that run on after an earlier run of the gang has completed it.
+TEST(engine, late_end_of_a_gang_stops_all_members_of_its_present_run)
+{
+    test_fleet fleet{1};
+    fleet.workers.default_plan.duration = 2s;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto spec = make_job(job_id, 1, 3);
+    spec.steps[0].gang = true;
+    ASSERT_EQ(fleet.submit(spec), submit_outcome::accepted);
+    fleet.timers.run_for(200ms);
+    ASSERT_EQ(fleet.workers.running("w0"), 3);
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.workers.default_plan.duration = 60s;
+    fleet.list_worker(fleet.workers.add("w1", "rounds"));
+    fleet.timers.run_for(10s);
+    ASSERT_EQ(fleet.workers.running("w1"), 3);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    ASSERT_TRUE(fleet.await_state(job_id, job_state::completed, 2s));
+    fleet.timers.run_for(fleet.workers.stop_time + 100ms);
+    EXPECT_EQ(fleet.workers.running("w1"), 0);
+}
+
 // The steps of a queue with `needs_advice` run only on workers that the advisor allows.
 TEST(engine, steps_run_only_where_the_advisor_allows)
 {
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -186,7 +186,8 @@
 }
 
 // The end of a run that was abandoned, or replaced by a previous leader, counts as well, because
-// the worker does not report it again once it is acknowledged.
+// the worker does not report it again once it is acknowledged. If it completes the task, or its
+// gang, the present run is stopped.
 std::int64_t task_runner::apply_earlier_run_end(worker_handle& handle, task& target,
                                                 const ended_task& end)
 {
@@ -204,8 +205,13 @@
         record_failure(handle);
         return listener_.on_task_failed(target, end.run);
     }
-    if (auto* const current_worker = find_worker(target.worker)) {
-        stop_stray(*current_worker, target.name(), target.run);
+    for (const auto& member : target.owning_step->tasks) {
+        if (&member != &target && !target.spec().gang) {
+            continue;
+        }
+        if (auto* const current_worker = find_worker(member.worker)) {
+            stop_stray(*current_worker, member.name(), member.run);
+        }
     }
     detach(target);
     target.phase = task_phase::done;
