--- a/src/decisions/crash_evidence.h
+++ b/src/decisions/crash_evidence.h
@@ -49,10 +49,10 @@
 // there as well, while other workers crash by themselves or are cut off. A crash has several
 // suspects, so the tasks that had just been started are started again in isolation. Two crashes on
 // different VMs that no other start explains tell the task that causes them from those that shared
-// a worker with it; it takes three if workers only fell silent after a start, as they may have ended
-// by themselves long after it. A task that crashes its workers only after `crash_window` is isolated
-// for as long as it runs once it has lost two or three of them so, and is given up after four or
-// five.
+// a worker with it; it takes three if workers only fell silent after a start, as they may have
+// ended by themselves long after it. A task that crashes its workers only after `crash_window` is
+// isolated for as long as it runs once it has lost two or three of them so, and is given up after
+// four or five.
 crash_verdict judge_crashes(const std::vector<crash_observation>& observations,
                             std::chrono::milliseconds now);
 
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -38,6 +38,16 @@
                                                   slowest_clock_rate));
 }
 
+// True if the answer does not name its incarnation, and the worker has restarted since the order
+// was sent.
+bool may_be_of_former_incarnation(const order_result& result, std::int64_t incarnation_when_sent,
+                                  std::int64_t present_incarnation)
+{
+    const bool reached_worker = result.status != order_status::not_sent;
+    return reached_worker && result.started_at_ms == 0 &&
+           incarnation_when_sent != present_incarnation;
+}
+
 } // namespace
 
 const char* to_string(loss_cause cause)
@@ -85,7 +95,11 @@
     const auto started_at_ms = born_;
     info_ = info;
     if (info.started_at_ms > started_at_ms && started_at_ms != 0) {
+        const auto alive = alive_;
         record_result(order_result{order_status::accepted, std::nullopt, info.started_at_ms});
+        if (*alive) {
+            request_report(); // carries the fencing token, which the new incarnation does not know
+        }
     }
 }
 
@@ -327,12 +341,12 @@
 }
 
 // Returns a callback that records the worker's clock and incarnation from an answer before it calls
-// `done`. An answer of an earlier incarnation is passed on as none.
+// `done`. An answer that an earlier incarnation has given or may have given is passed on as none.
 std::function<void(const order_result&)>
 worker_session::with_result_recorded(std::function<void(const order_result&)> done)
 {
     return [this, alive = alive_, sent_at = timers_.now(), timeout = answer_timer_.timeout(),
-            done = std::move(done)](const order_result& result) {
+            incarnation_when_sent = born_, done = std::move(done)](const order_result& result) {
         if (!*alive) {
             return;
         }
@@ -341,7 +355,8 @@
         if (result.status == order_status::unanswered) {
             record_broken_connection(sent_at, timeout);
         }
-        if (of_former_incarnation(result)) {
+        if (of_former_incarnation(result) ||
+            may_be_of_former_incarnation(result, incarnation_when_sent, born_)) {
             done(order_result{}); // it says nothing about the present incarnation
             return;
         }
