Tell the next leader of VM orders that may be executed late

After a change of leaders, the new leader moved a VM back 3.3 s after the previous leader's last order to it; an attempt of the previous leader without an answer was then executed, took the VM out of its pool again and ended its tasks. Where the platform checks no fencing tokens, an order with a lower token also followed one with a higher token.

An order without an answer now goes into the record of VM orders, which makes the next leader hold the VM as long as the attempt may be executed (late_execution_limit). The record states this as a negative age; earlier releases read it as age 0 and hold the VM as before.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -50,7 +50,7 @@
 capacity_manager::capacity_manager(net::timer_service& timers, vm_port& vms,
                                    vm_directory& directory, vm_reservations& reservations,
                                    job_table& jobs, std::int64_t token, milliseconds move_time,
-                                   std::function<bool(const std::string&)> may_order)
+                                   vm_order_log& order_log)
     : timers_(timers),
       vm_port_(vms),
       directory_(directory),
@@ -58,7 +58,7 @@
       jobs_(jobs),
       token_(token),
       move_time_(move_time),
-      may_order_(std::move(may_order)),
+      order_log_(order_log),
       created_at_(timers.now())
 {
 }
@@ -388,7 +388,7 @@
     for (auto& [vm, move] : moves_) {
         const bool due = move.order.ever_sent() ? move.order.repeat_due(timers_.now())
                                                 : directory_.has_no_tasks(vm);
-        if (due && may_order_(vm)) {
+        if (due && order_log_.may_order(vm)) {
             send_move(vm, move);
         }
     }
@@ -411,6 +411,9 @@
     if (found == moves_.end()) {
         return;
     }
+    if (status == vm_order_status::unanswered) {
+        order_log_.on_unanswered(vm);
+    }
     auto& move = found->second;
     log_event(log_level::info, "vm.move",
               {{"vm", vm}, {"from", move.from}, {"to", move.to}, {"outcome", to_string(status)}});
--- a/src/jobs/capacity_manager.h
+++ b/src/jobs/capacity_manager.h
@@ -17,6 +17,7 @@
 #include "jobs/task_runner.h"
 #include "jobs/vm_directory.h"
 #include "jobs/vm_order.h"
+#include "jobs/vm_order_log.h"
 #include "jobs/vm_reservations.h"
 #include "net/timer_service.h"
 
@@ -28,7 +29,7 @@
 public:
     capacity_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                      vm_reservations& reservations, job_table& jobs, std::int64_t token,
-                     milliseconds move_time, std::function<bool(const std::string& vm)> may_order);
+                     milliseconds move_time, vm_order_log& order_log);
     ~capacity_manager();
     capacity_manager(const capacity_manager&) = delete;
     capacity_manager& operator=(const capacity_manager&) = delete;
@@ -83,7 +84,7 @@
     job_table& jobs_;
     std::int64_t token_;
     milliseconds move_time_;
-    std::function<bool(const std::string&)> may_order_;
+    vm_order_log& order_log_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     net::boot_time created_at_;
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -92,18 +92,15 @@
     vm_orders_ = std::make_unique<vm_order_log>(
         timers_, settings_.vm_order_interval, [this] { writer_->mark_dirty(vm_order_log::key); },
         [this] { manage_vms(); });
-    const auto may_order = [this](const std::string& vm) {
-        return may_act_() && vm_orders_->may_order(vm);
-    };
     vm_directory_ = std::make_unique<vm_directory>(timers_, *ports_.vms, *runner_);
     wave_manager_ = std::make_unique<wave_manager>(
         timers_, *ports_.vms, *vm_directory_, *ports_.store, *ports_.documents, *runner_,
-        reservations_, leader_, may_order, may_act_, [this](const task& candidate) {
+        reservations_, leader_, *vm_orders_, may_act_, [this](const task& candidate) {
             return config_ && scheduler_->fits_elsewhere(candidate, *config_);
         });
     capacity_manager_ =
         std::make_unique<capacity_manager>(timers_, *ports_.vms, *vm_directory_, reservations_,
-                                           jobs_, leader_.token, settings_.move_time, may_order);
+                                           jobs_, leader_.token, settings_.move_time, *vm_orders_);
 }
 
 engine::~engine()
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -386,6 +386,33 @@
     EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
 }
 
+// Guards against the same after a change of leaders: the next leader moves the VM back before the
+// previous leader's attempt without an answer is carried out.
+TEST_F(fleet_changes, late_move_of_a_previous_leader_does_not_undo_the_next_move)
+{
+    fleet.vms.order_delay = 12s;
+    fleet.vms.order_timeout = 500ms;
+    fleet.workers.default_plan.duration = 900ms;
+    add_vms(10, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.add_node("b");
+    fleet.timers.run_for(1800ms); // orders to move surplus VMs out are sent
+    fleet.vms.order_delay = 5ms;
+    fleet.timers.run_for(1s); // their repetitions are accepted
+    ASSERT_LE(fleet.vms.vms_in("rounds"), 3);
+    fleet.kill("a");
+    ASSERT_TRUE(fleet.await_leader());
+    for (int number = 0; number < 140; ++number) {
+        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
+                               [](submit_outcome) {});
+        fleet.timers.run_for(200ms);
+    }
+    EXPECT_GE(fleet.vms.vms_in("rounds"), 5);
+    EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
+    EXPECT_EQ(fleet.vms.conflicting_orders(), 0);
+}
+
 // A maintenance order for a VM that the wave has already maintained has no effect, and the VM keeps
 // its worker. Guards against never starting tasks on that worker again.
 TEST_F(fleet_changes, workers_get_tasks_after_a_repeated_maintenance_order)
--- a/src/jobs/vm_order_log.cpp
+++ b/src/jobs/vm_order_log.cpp
@@ -48,7 +48,7 @@
     // stated ones or higher.
     for (const auto& [vm, age] : document.items()) {
         const milliseconds at_least(age.is_number_integer() ? age.get<std::int64_t>() : 0);
-        held_until_[vm] = last_hold_end() - std::max(at_least, milliseconds(0));
+        held_until_[vm] = last_hold_end() - std::max<milliseconds>(at_least, -late_execution_limit);
     }
 }
 
@@ -83,14 +83,29 @@
     return logged_vm.version <= durable_version_;
 }
 
+void vm_order_log::on_unanswered(const std::string& vm)
+{
+    logged_vms_[vm].open_until = timers_.now() + late_execution_limit;
+    ++version_;
+    changed_();
+}
+
 void vm_order_log::remove_expired()
 {
-    const auto oldest = timers_.now() - retention;
+    const auto now = timers_.now();
     for (auto next = logged_vms_.begin(); next != logged_vms_.end();) {
-        next = next->second.last_requested < oldest ? logged_vms_.erase(next) : std::next(next);
+        const auto& logged_vm = next->second;
+        const bool expired =
+            logged_vm.last_requested + retention < now && logged_vm.open_until < now;
+        next = expired ? logged_vms_.erase(next) : std::next(next);
     }
 }
 
+std::int64_t vm_order_log::age_with_hold(net::boot_clock::duration hold) const
+{
+    return whole_milliseconds(interval_ + interval_margin - hold);
+}
+
 std::string vm_order_log::encode()
 {
     const auto now = timers_.now();
@@ -99,14 +114,17 @@
     // them.
     for (const auto& [vm, held_until] : held_until_) {
         if (now < held_until) {
-            ages[vm] = whole_milliseconds(interval_ + interval_margin - (held_until - now));
+            ages[vm] = age_with_hold(held_until - now);
         }
     }
     for (auto& [vm, logged_vm] : logged_vms_) {
         // An order may be sent as soon as this version is durable. Age 0 holds until then, because
         // the next leader counts it from its own start.
         const bool order_follows = logged_vm.version > durable_version_;
-        const auto age = order_follows ? 0 : whole_milliseconds(now - logged_vm.last_requested);
+        auto age = order_follows ? 0 : whole_milliseconds(now - logged_vm.last_requested);
+        if (logged_vm.open_until > now) {
+            age = std::min(age, age_with_hold(logged_vm.open_until - now));
+        }
         logged_vm.aged = age > 0;
         ages[vm] = age;
     }
--- a/src/jobs/vm_order_log.h
+++ b/src/jobs/vm_order_log.h
@@ -38,6 +38,9 @@
     // True while the VM may have orders of the previous leader in progress, so that may_order()
     // refuses it.
     bool held_by_previous_leader(const std::string& vm) const;
+    // An order to the VM got no answer, so it may be executed late. If the leader changes, the next
+    // one waits with orders to the VM until then.
+    void on_unanswered(const std::string& vm);
 
     std::int64_t version() const { return version_; }
     // Returns the record to be stored now.
@@ -49,8 +52,12 @@
         net::boot_time last_requested{};
         std::int64_t version = 0; // first version of the record with the last request
         bool aged = false;        // a later version states an age, so the next order needs another
+        net::boot_time open_until{}; // until then, an order without an answer may be executed
     };
     void remove_expired();
+    // Returns the age with which the record makes the next leader hold a VM for this long. It is
+    // negative if the hold is longer than after an order that was just sent.
+    std::int64_t age_with_hold(net::boot_clock::duration hold) const;
     // When the previous leader's orders are over that it sent right before its end.
     net::boot_time last_hold_end() const;
 
--- a/src/jobs/vm_order_log_test.cpp
+++ b/src/jobs/vm_order_log_test.cpp
@@ -48,6 +48,7 @@
     }
 
     vm_order_log& log() { return log_; }
+    const vm_order_log& log() const { return log_; }
     const std::optional<std::string>& record() const { return record_; }
     int writes_requested() const { return writes_requested_; }
 
@@ -120,6 +121,29 @@
     EXPECT_TRUE(third.log().held_by_previous_leader("other"));
 }
 
+// Guards against a next leader whose orders are undone by a late one of the previous leader.
+TEST(vm_order_log, unanswered_order_holds_its_vm_until_nothing_executes_it)
+{
+    virtual_timers timers;
+    logged_leader first(timers, std::nullopt);
+    first.order("answered");
+    first.order("unanswered");
+    first.log().on_unanswered("unanswered");
+    timers.run_for(10s);
+    first.order("other");
+    logged_leader second(timers, first.record());
+    second.order("new");
+    logged_leader third(timers, second.record());
+    for (const auto* const leader : {&second, &third}) {
+        EXPECT_FALSE(leader->log().held_by_previous_leader("answered"));
+        EXPECT_TRUE(leader->log().held_by_previous_leader("unanswered"));
+    }
+    timers.run_for(late_execution_limit - 10s - 1ms);
+    EXPECT_TRUE(third.log().held_by_previous_leader("unanswered"));
+    timers.run_for(longest_hold);
+    EXPECT_FALSE(third.log().held_by_previous_leader("unanswered"));
+}
+
 // Guards against orders sent too early after an update: releases before 0.3 wrote a list of names.
 TEST(vm_order_log, unknown_format_holds_every_vm)
 {
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -25,8 +25,7 @@
 wave_manager::wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                            store_port& store, const document_codec& documents, task_runner& runner,
                            vm_reservations& reservations, leader_record leader,
-                           std::function<bool(const std::string&)> may_order,
-                           std::function<bool()> may_act,
+                           vm_order_log& order_log, std::function<bool()> may_act,
                            std::function<bool(const task&)> may_relocate)
     : timers_(timers),
       vm_port_(vms),
@@ -36,7 +35,7 @@
       runner_(runner),
       reservations_(reservations),
       leader_(std::move(leader)),
-      may_order_(std::move(may_order)),
+      order_log_(order_log),
       may_act_(std::move(may_act)),
       may_relocate_(std::move(may_relocate))
 {
@@ -221,14 +220,15 @@
     }
     for (auto& [name, vm] : wave.vms) {
         if (vm.phase == wave_phase::ordered && vm.order.repeat_due(timers_.now()) &&
-            may_order_(name)) {
+            order_log_.may_order(name)) {
             order_maintenance(wave, name);
         }
         if (vm.phase != wave_phase::draining || down >= wave.request.max_concurrent) {
             continue;
         }
         const auto* const listed = directory_.find(name);
-        if (directory_.has_no_tasks(name) && listed->state == vm_state::up && may_order_(name)) {
+        if (directory_.has_no_tasks(name) && listed->state == vm_state::up &&
+            order_log_.may_order(name)) {
             ++down;
             vm.phase = wave_phase::ordered;
             order_maintenance(wave, name);
@@ -255,6 +255,9 @@
               {{"wave", std::to_string(wave.request.wave)},
                {"vm", name},
                {"outcome", to_string(status)}});
+    if (status == vm_order_status::unanswered) {
+        order_log_.on_unanswered(name);
+    }
     auto& vm = wave.vms[name];
     switch (vm.order.on_answered(status, timers_.now())) {
     case vm_order::outcome::executed:
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -12,6 +12,7 @@
 #include "jobs/task_runner.h"
 #include "jobs/vm_directory.h"
 #include "jobs/vm_order.h"
+#include "jobs/vm_order_log.h"
 #include "jobs/vm_reservations.h"
 #include "net/timer_service.h"
 
@@ -24,12 +25,11 @@
 public:
     static constexpr const char* record_prefix = "jl/wave/";
 
-    // `may_order`: whether an order to the VM may be sent now. `may_act`: whether this process
-    // certainly is the leader. `may_relocate`: whether another worker has capacity for the task.
+    // `may_act`: whether this process certainly is the leader. `may_relocate`: whether another
+    // worker has capacity for the task.
     wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
                  store_port& store, const document_codec& documents, task_runner& runner,
-                 vm_reservations& reservations, leader_record leader,
-                 std::function<bool(const std::string& vm)> may_order,
+                 vm_reservations& reservations, leader_record leader, vm_order_log& order_log,
                  std::function<bool()> may_act, std::function<bool(const task&)> may_relocate);
     ~wave_manager();
     wave_manager(const wave_manager&) = delete;
@@ -84,7 +84,7 @@
     task_runner& runner_;
     vm_reservations& reservations_;
     leader_record leader_;
-    std::function<bool(const std::string&)> may_order_;
+    vm_order_log& order_log_;
     std::function<bool()> may_act_;
     std::function<bool(const task&)> may_relocate_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
