Do not run a request whose chunked body was cut

A chunked request whose connection ended or fell silent before the final chunk was handled with the part of the body that had arrived, as if it were whole: a caller's broken call ran on a target with half of its input, and a caller who sent it again had it run with both. POCO does not report this end. The server now refuses such a request as incomplete: after a network error, or if the peer has closed. A peer that closes its sending side right after a whole chunked body is refused as well; it cannot be told apart.

--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <atomic>
 #include <string>
 #include <thread>
 #include <vector>
@@ -138,6 +139,54 @@
     }
 }
 
+// Guards against running a request of which only a part has arrived.
+TEST(server, does_not_run_a_request_with_a_cut_chunked_body)
+{
+    std::atomic<int> runs{0};
+    server_limits limits;
+    limits.receive_timeout = 300ms;
+    server server({"127.0.0.1", 0}, limits, [&](const request&) {
+        ++runs;
+        return json_response(200, "{}");
+    });
+    const std::string head =
+        "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string part : {"5\r\nab", "2\r\nab\r\n", "2\r\nab\r\n0"}) {
+        for (const bool closes : {true, false}) {
+            Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", server.port()));
+            const auto bytes = head + part;
+            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+            if (closes) {
+                socket.shutdownSend();
+            }
+            socket.setReceiveTimeout(Poco::Timespan(5, 0));
+            std::array<char, 4096> buffer{};
+            while (socket.receiveBytes(buffer.data(), buffer.size()) > 0) {
+            }
+            EXPECT_EQ(runs, 0) << part << (closes ? ", closed" : ", silent");
+            runs = 0;
+        }
+    }
+}
+
+// Guards against refusing complete chunked bodies.
+TEST(server, runs_a_request_with_a_whole_chunked_body)
+{
+    const server server({"127.0.0.1", 0}, {},
+                        [](const request& request) { return json_response(200, request.body); });
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", server.port()));
+    const std::string bytes = "POST / HTTP/1.1\r\nConnection: close\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n";
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::array<char, 4096> buffer{};
+    std::string answer;
+    for (int count = 1; count > 0; answer.append(buffer.data(), static_cast<std::size_t>(count))) {
+        count = socket.receiveBytes(buffer.data(), buffer.size());
+    }
+    EXPECT_NE(answer.find("200 OK"), std::string::npos);
+    EXPECT_NE(answer.find("abcde"), std::string::npos);
+}
+
 // Guards against reading an oversized request body into memory.
 TEST(server, rejects_oversized_request_bodies)
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,7 +9,9 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 
@@ -30,7 +32,21 @@
     output.sendBuffer(response.body.data(), response.body.size());
 }
 
-// Reads the body, or returns nothing if it exceeds the limit or is incomplete.
+// POCO does not distinguish the end of a chunked body from a lost connection. Only if the
+// connection is still open, the final chunk must have arrived.
+bool has_ended_early(HTTPServerRequest& input)
+{
+    auto& session = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(input).session();
+    if (session.networkException() != nullptr) {
+        return true;
+    }
+    auto& socket = session.socket();
+    char next = 0;
+    return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) &&
+           socket.receiveBytes(&next, 1, MSG_PEEK) <= 0;
+}
+
+// Reads the body, or returns nothing if it exceeds the limit.
 std::optional<std::string> read_body(HTTPServerRequest& input, std::size_t max_bytes)
 {
     std::string body;
@@ -80,6 +96,11 @@
                                                   "the body is shorter than Content-Length"));
             return;
         }
+        if (input.getChunkedTransferEncoding() && has_ended_early(input)) {
+            reject_request(output, error_response(400, "body_incomplete",
+                                                  "the connection ended before the body"));
+            return;
+        }
         request request;
         request.method = input.getMethod();
         request.target = input.getURI();
