Store content types with any bytes

HTTP headers may hold any bytes, but a record's content types were written to JSON as text, which throws for bytes that are not UTF-8. If a target answered a keyed call with such a header, the exception left the call after it had run: its key stayed in use and its caller got no answer. For a deferred request it left the thread of the execution pool, which catches nothing, and so ended the entry; an idempotent request was then run again by the next owner of the queue, and ended that entry, too.

Content types are now stored like bodies: as text, or in hexadecimal form if they are not ASCII.

--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -168,10 +168,10 @@
                 {"accepted_at_ms", record.accepted_at.count()},
                 {"expires_at_ms", record.expires_at.count()},
                 {"body", to_bytes(record.body)},
-                {"content_type", record.content_type},
+                {"content_type", to_bytes(record.content_type)},
                 {"unanswered_attempts", record.unanswered_attempts},
                 {"answer_status", record.answer_status},
-                {"answer_content_type", record.answer_content_type},
+                {"answer_content_type", to_bytes(record.answer_content_type)},
                 {"answer", to_bytes(record.answer)},
                 {"write_id", record.write_id}}
         .dump();
@@ -225,11 +225,11 @@
         record.accepted_at = time_field(value, "accepted_at_ms");
         record.expires_at = time_field(value, "expires_at_ms");
         record.body = from_bytes(value.at("body"));
-        record.content_type = value.value("content_type", "");
+        record.content_type = from_bytes(value.value("content_type", json("")));
         // Earlier versions of the program did not write it.
         record.unanswered_attempts = value.value("unanswered_attempts", 0);
         record.answer_status = value.at("answer_status").get<int>();
-        record.answer_content_type = value.at("answer_content_type").get<std::string>();
+        record.answer_content_type = from_bytes(value.at("answer_content_type"));
         record.answer = from_bytes(value.at("answer"));
         record.write_id = value.at("write_id").get<std::string>();
         return record;
--- a/src/requests/durable_requests_test.cpp
+++ b/src/requests/durable_requests_test.cpp
@@ -215,6 +215,24 @@
     EXPECT_EQ(deployment.queued(), 0U);
 }
 
+// Guards against an entry that ends, or a key that stays in use, because of the bytes of a header.
+TEST(durable_requests, content_type_may_hold_any_bytes)
+{
+    const std::string any_bytes = "text/plain; name=\xff";
+    test_deployment deployment;
+    auto& entry = deployment.start("a");
+    entry.engine.content_type = any_bytes;
+    auto call = deployment.make_call("k1");
+    call.content_type = any_bytes;
+    EXPECT_EQ(entry.durable->execute_once(call).result, outcome::answered);
+    EXPECT_EQ(entry.durable->execute_once(call).content_type, any_bytes);
+    EXPECT_EQ(entry.durable->accept_deferred(deployment.make_call("d1")).result, outcome::accepted);
+    deployment.run(seconds(3));
+    EXPECT_EQ(deployment.stored("d1").state, request_state::answered);
+    EXPECT_EQ(deployment.stored("d1").answer_content_type, any_bytes);
+    EXPECT_EQ(deployment.executions.runs["k1"] + deployment.executions.runs["d1"], 2);
+}
+
 // Guards against a request shown as not started, or accepted anew, although an attempt without an
 // answer may have run.
 TEST(durable_requests, request_that_may_have_run_neither_expires_nor_is_cancelled)
--- a/src/requests/durable_test_support.h
+++ b/src/requests/durable_test_support.h
@@ -144,7 +144,8 @@
         return outcome::answered;
     };
     bool has_room = true;
-    bool dies_after_execution = false; // the entry is killed before it gets the answer
+    std::string content_type = "text/plain"; // of the answers
+    bool dies_after_execution = false;       // the entry is killed before it gets the answer
 
     call_result execute(const call& call) override
     {
@@ -159,7 +160,7 @@
             throw entry_killed{};
         }
         result.status = result.result == outcome::answered ? 200 : 504;
-        result.content_type = "text/plain";
+        result.content_type = content_type;
         result.body = "answer to " + call.body;
         return result;
     }
