Send no start that waited for its record once the job has ended

A task of a cancelled job was started. The start of a task with crash evidence waits until it is recorded; if the job was cancelled meanwhile, the record of the cancellation, which holds the start as well, released the start, and the stop followed at once. The stop has no effect on a start that is carried out late only if it arrives; without an answer to either, a cancelled task could begin seconds after its cancelling was acknowledged.

--- a/src/jobs/crashing_tasks_test.cpp
+++ b/src/jobs/crashing_tasks_test.cpp
@@ -1,5 +1,6 @@
 // Tasks that crash each worker that starts them, and tasks that only share a worker with one.
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -406,6 +407,38 @@
     }
 }
 
+// Guards against the start of a task whose job was cancelled while the start waited for its record.
+TEST(crashing_tasks, cancelled_job_gets_no_start_that_waits_for_the_record)
+{
+    static constexpr auto step = 1ms;
+    const auto run_to_second_start = [](test_fleet& fleet, milliseconds limit) {
+        fleet.workers.crashing_tasks = {crashing_task};
+        fleet.add_node("a");
+        EXPECT_TRUE(fleet.await_leader());
+        EXPECT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        auto elapsed = 0ms;
+        while (elapsed < limit && fleet.workers.start_count(crashing_task) < 2) {
+            fleet.timers.run_for(step);
+            elapsed += step;
+        }
+        return elapsed;
+    };
+    test_fleet undisturbed;
+    const auto second_start = run_to_second_start(undisturbed, 20s);
+    ASSERT_EQ(undisturbed.workers.start_count(crashing_task), 2);
+    for (auto before = step; before < 30ms; before += step) {
+        test_fleet fleet;
+        run_to_second_start(fleet, second_start - before);
+        std::optional<int> starts_when_cancelled;
+        fleet.leader()->cancel(job_id, [&](cancel_outcome) {
+            starts_when_cancelled = fleet.workers.start_count(crashing_task);
+        });
+        fleet.timers.run_for(2s);
+        EXPECT_EQ(fleet.workers.start_count(crashing_task), starts_when_cancelled)
+            << "cancelled " << before.count() << " ms before the second start";
+    }
+}
+
 // The evidence is part of a job's record; a record of a version that did not write it is read.
 TEST(crashing_tasks, evidence_is_restored_from_the_record)
 {
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -266,7 +266,7 @@
             }
         }
     }
-    if (job.has_crash_evidence) {
+    if (job.has_crash_evidence && job.active()) {
         runner_->send_recorded_starts(job);
     }
     if (job.cancelled() || job.state == job_state::failed) {
