--- a/src/jobs/open_starts.h
+++ b/src/jobs/open_starts.h
@@ -17,7 +17,7 @@
 //
 //   starts.on_sent(task, run, now);
 //   starts.on_answered(task, run, status);
-//   if (starts.contains(task, run)) { ... } // the run may still begin
+//   if (starts.attempts(task, run) > 0) { ... } // the run may still begin
 //
 // Not thread-safe.
 class open_starts {
@@ -32,7 +32,6 @@
     void on_answered(const task_name& task, std::int64_t run, order_status status);
     // Number of open attempts to start this run.
     int attempts(const task_name& task, std::int64_t run) const;
-    bool contains(const task_name& task, std::int64_t run) const { return attempts(task, run) > 0; }
     bool empty() const { return runs_.empty(); }
     std::vector<task_run> runs() const;
     // Drops the attempts that are so old that nothing carries them out any more.
--- a/src/jobs/open_starts_test.cpp
+++ b/src/jobs/open_starts_test.cpp
@@ -20,7 +20,6 @@
     EXPECT_EQ(starts.attempts(task, 1), 2);
     starts.on_answered(task, 1, order_status::no_room);
     EXPECT_EQ(starts.attempts(task, 1), 1);
-    EXPECT_TRUE(starts.contains(task, 1));
 }
 
 TEST(open_starts, answered_attempts_are_not_open)
@@ -40,8 +39,8 @@
     starts.on_sent(task, 1, start);
     starts.on_sent(task, 2, start);
     starts.on_answered(task, 2, order_status::accepted);
-    EXPECT_TRUE(starts.contains(task, 1));
-    EXPECT_FALSE(starts.contains(task, 2));
+    EXPECT_EQ(starts.attempts(task, 1), 1);
+    EXPECT_EQ(starts.attempts(task, 2), 0);
     ASSERT_EQ(starts.runs().size(), 1U);
     EXPECT_EQ(starts.runs().front().run, 1);
 }
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -326,9 +326,9 @@
         return;
     }
     const auto now = timers_.now();
-    const bool repeated_attempt =
+    const bool repetition_not_sent =
         result.status == order_status::not_sent && target->order_attempts > 1;
-    if (result.status != order_status::accepted && !repeated_attempt) {
+    if (result.status != order_status::accepted && !repetition_not_sent) {
         metrics_.record_refused_start(result.status);
         log_event(log_level::info, "task.start_refused",
                   {{"task", name.to_string()},
@@ -530,8 +530,8 @@
         stop(target, "its worker has restarted");
         return;
     }
-    const bool repeats = target.order_confirmed_at == order_unconfirmed;
-    if (!repeats) {
+    const bool is_being_repeated = target.order_confirmed_at == order_unconfirmed;
+    if (!is_being_repeated) {
         target.order_confirmed_at = order_unconfirmed;
         send_stop(target.name(), target.run, target.worker);
     }
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -101,9 +101,9 @@
 //
 // A worker may execute an order whose answer was lost, even seconds later. A start without an
 // answer is therefore sent again to the same worker, which accepts a run that it already has. If no
-// attempt is answered, the run is stopped; a worker rejects every later start of a stopped run. The
-// task becomes waiting only after that stop or after the worker's lease has expired, since it could
-// otherwise run twice. Not thread-safe.
+// attempt is answered, or one is refused while others are open, the run is stopped; a worker
+// rejects every later start of a stopped run. The task becomes waiting only after that stop or
+// after the worker's lease has expired, since it could otherwise run twice. Not thread-safe.
 class task_runner final : private session_listener {
 public:
     task_runner(net::timer_service& timers, worker_connector& connector, job_table& jobs,
@@ -219,7 +219,9 @@
     crash_ledger crashes_;
     std::map<std::string, worker_handle> worker_handles_;                     // by worker id
     std::unordered_map<std::string, std::vector<std::string>> workers_by_vm_; // by VM
-    std::map<std::string, open_starts> open_starts_; // by worker id, outlives worker_handle
+    // By worker id. Outlives the worker's handle, because an open start may reach a later
+    // incarnation with the same id.
+    std::map<std::string, open_starts> open_starts_;
     std::set<std::string> workers_with_unacknowledged_ends_;
     std::set<std::string> services_with_unseen_losses_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -74,7 +74,7 @@
     // Plans for the tasks of individual jobs; `default_plan` applies to all other jobs.
     std::map<std::string, task_plan> plans_by_job;
     task_plan default_plan;
-    // Time until a worker in mode `delayed` executes an order.
+    // Time until a worker in mode `delayed` or `late_orders` executes an order.
     milliseconds late_order_delay{3000};
     milliseconds max_lease{10000};
     milliseconds stop_time{200}; // between a stop order and the end of the run
