--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -103,6 +103,8 @@
     // Number of tasks that run on the worker.
     int running(const std::string& id) const;
     bool is_running(const std::string& task) const;
+    // True if the worker's process runs.
+    bool is_up(const std::string& id) const { return workers_.at(id).up; }
     // True if the task runs and has completed its start-up.
     bool is_at_work(const std::string& task) const;
     // The worker that runs the task; empty if none does.
