Stop a former leader's start on the next incarnation of its worker

Callers would see TWICE: a start of the former leader without an answer is carried out by the restarted worker, beside the run that the present leader has started elsewhere.

Cause: on a restart under the same id, a task is released at once if this leader has no open attempt of its start. For a run that it has taken over from a former leader it can't know that; and a restart that is learned of from the registration alone has not let the worker see the new token.

Mend: such a run is stopped on the new incarnation first, like one with an open start of our own. The stop also makes the worker refuse the former leader's orders.

Evidence: start_of_former_leader_does_not_run_beside_its_successor failed before at all of its eight moments; jobs_test passes. Not covered: a start of the former leader that had not been carried out yet when the worker restarted.

--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -242,8 +242,7 @@
 
 void task_runner::start(task& target, worker_handle& handle, start_options options)
 {
-    const auto first_run_of_term = (settings_.term - 1) * runs_per_term;
-    target.run = std::max(target.run, first_run_of_term) + 1;
+    target.run = std::max(target.run, first_run_of_term() - 1) + 1;
     target.phase = task_phase::starting;
     target.worker = handle.info().id;
     target.ticket = std::move(options.ticket);
@@ -563,6 +562,17 @@
     return open_attempts(target.name(), target.run, target.worker) > 0;
 }
 
+std::int64_t task_runner::first_run_of_term() const
+{
+    return (settings_.term - 1) * runs_per_term + 1;
+}
+
+// Attempts of that start may be open without this leader knowing of them.
+bool task_runner::started_by_former_leader(const task& target) const
+{
+    return target.run < first_run_of_term();
+}
+
 int task_runner::open_attempts(const task_name& name, std::int64_t run,
                                const std::string& worker) const
 {
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -184,6 +184,8 @@
     void stop_open_starts(worker_handle& handle);
     bool pace_repeat_due(const task& target) const;
     bool start_is_open(const task& target) const;
+    bool started_by_former_leader(const task& target) const;
+    std::int64_t first_run_of_term() const;
     int open_attempts(const task_name& name, std::int64_t run, const std::string& worker) const;
     void expire_open_starts();
     void on_stray_stopped(const task_name& name, std::int64_t run, const std::string& worker,
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -59,7 +59,8 @@
     // it reject that start.
     std::set<task*> lost;
     for (auto* const target : std::set<task*>(handle->assigned)) {
-        if (target->phase == task_phase::starting || start_is_open(*target)) {
+        if (target->phase == task_phase::starting || start_is_open(*target) ||
+            started_by_former_leader(*target)) {
             stop_on_new_incarnation(*target);
         }
         else if (target->phase != task_phase::stopping ||
--- a/src/jobs/unanswered_starts_test.cpp
+++ b/src/jobs/unanswered_starts_test.cpp
@@ -94,5 +94,41 @@
                              return "after_" + std::to_string(info.param.count()) + "_ms";
                          });
 
+// Guards against a start of a former leader without an answer that the next incarnation of its
+// worker carries out beside the run that the present leader has started meanwhile.
+TEST(unanswered_starts, start_of_former_leader_does_not_run_beside_its_successor)
+{
+    for (int restart_ms = 0; restart_ms < 800; restart_ms += 100) {
+        SCOPED_TRACE("restart after " + std::to_string(restart_ms) + " ms");
+        test_fleet fleet{2};
+        fleet.workers.late_order_delay = 3500ms;
+        fleet.workers.default_plan.duration = 8s;
+        ASSERT_TRUE(fleet.start_leader_and_standby());
+        fleet.workers.set_mode("w0", worker_mode::late_orders);
+        fleet.workers.set_mode("w1", worker_mode::late_orders);
+        ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        fleet.timers.run_for(1900ms);
+        fleet.kill("a");
+        ASSERT_TRUE(fleet.await_leader());
+        for (auto waited = 0ms; waited < 9s && !fleet.workers.is_running(only_task);
+             waited += 5ms) {
+            fleet.timers.run_for(5ms);
+        }
+        const auto worker = fleet.workers.worker_of(only_task);
+        ASSERT_FALSE(worker.empty());
+        fleet.workers.set_mode(worker == "w0" ? "w1" : "w0", worker_mode::answering);
+        fleet.timers.run_for(100ms + milliseconds(restart_ms));
+        fleet.workers.restart(worker);
+        fleet.workers.set_mode(worker, worker_mode::unreachable);
+        fleet.list_worker(fleet.workers.registration(worker));
+        fleet.timers.run_for(2s);
+        fleet.workers.set_mode(worker, worker_mode::answering);
+        EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 30s));
+        for (const auto& violation : fleet.workers.violations()) {
+            ADD_FAILURE() << violation;
+        }
+    }
+}
+
 } // namespace
 } // namespace jl::jobs
