Join the two parsers with a nesting limit in src/base

One module, base/json, with the stricter limit, serves both now; the tests of the other one have moved to json_test.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -63,12 +63,15 @@
 
 } // namespace
 
+json parse_json(std::string_view text)
+{
+    return nested_too_deeply(text) ? json(json::value_t::discarded)
+                                   : json::parse(text, nullptr, false);
+}
+
 std::optional<json> parse_json_object(std::string_view text)
 {
-    if (nested_too_deeply(text)) {
-        return std::nullopt;
-    }
-    auto document = json::parse(text, nullptr, false);
+    auto document = parse_json(text);
     if (!document.is_object()) {
         return std::nullopt;
     }
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -12,8 +12,11 @@
 // a JSON value are recursive, so a deeper one could overflow the stack.
 constexpr std::size_t max_json_depth = 32;
 
-// Parses a document that any other process may have written. Returns nothing if it is not a JSON
-// object or nested beyond max_json_depth.
+// Parses JSON text that any other process or a person may have written. Returns a discarded value
+// if it is not JSON or nested beyond max_json_depth.
+nlohmann::json parse_json(std::string_view text);
+
+// The same. Returns nothing if the text is not a JSON object.
 std::optional<nlohmann::json> parse_json_object(std::string_view text);
 
 // The same for CBOR. Returns nothing if `bytes` are not one value of any type within the limit.
--- a/src/base/json_test.cpp
+++ b/src/base/json_test.cpp
@@ -21,6 +21,22 @@
     }
 }
 
+// Guards against values whose copies exhaust the stack, and against brackets in strings counted as
+// levels.
+TEST(json, limits_the_depth_of_any_value)
+{
+    EXPECT_FALSE(parse_json(nested_lists(max_json_depth)).is_discarded());
+    EXPECT_TRUE(parse_json(nested_lists(max_json_depth + 1)).is_discarded());
+    EXPECT_TRUE(parse_json(nested_lists(500000)).is_discarded());
+    const std::string brackets = "\\\"" + std::string(1000, '[');
+    const auto value = parse_json("[\"" + brackets + "\", {}]");
+    ASSERT_FALSE(value.is_discarded());
+    EXPECT_EQ(value[0].get<std::string>(), "\"" + std::string(1000, '['));
+    // A string that never ends hides brackets from the count, but is no JSON.
+    EXPECT_TRUE(parse_json("\"" + nested_lists(1000)).is_discarded());
+    EXPECT_TRUE(parse_json("[1,]").is_discarded());
+}
+
 // Guards against documents whose copy, destruction or output overflows the stack.
 TEST(json, rejects_documents_beyond_the_nesting_limit)
 {
--- a/src/callers/caller_api.cpp
+++ b/src/callers/caller_api.cpp
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/ids.h"
-#include "base/json_text.h"
+#include "base/json.h"
 
 namespace jl::callers {
 
--- a/src/objects/diff.cpp
+++ b/src/objects/diff.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/json_text.h"
+#include "base/json.h"
 #include "objects/fields.h"
 
 namespace jl::objects {
--- a/src/objects/objects.cpp
+++ b/src/objects/objects.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/json_text.h"
+#include "base/json.h"
 
 namespace jl::objects {
 
--- a/src/operators/admin_api.cpp
+++ b/src/operators/admin_api.cpp
@@ -12,7 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/ids.h"
-#include "base/json_text.h"
+#include "base/json.h"
 #include "objects/feasibility.h"
 #include "operators/admin_json.h"
 
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,6 +1,6 @@
 #include <nlohmann/json.hpp>
 
-#include "base/json_text.h"
+#include "base/json.h"
 #include "http/client.h"
 #include "platform/platform.h"
 
--- a/src/records/operator_records.cpp
+++ b/src/records/operator_records.cpp
@@ -3,7 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/json_text.h"
+#include "base/json.h"
 #include "records/records.h"
 
 namespace jl::records {
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -9,7 +9,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
-#include "base/json_text.h"
+#include "base/json.h"
 #include "http/client.h"
 #include "store/etcd_codec.h"
 
