--- a/review/standin/kit.h
+++ b/review/standin/kit.h
@@ -30,6 +30,7 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -299,6 +300,7 @@
 {
     const pid_t child = fork();
     if (child == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // none outlives the driver
         const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         dup2(out, 1);
         dup2(out, 2);
