Acknowledge an end only when its record is durable

Cause: a new leader dropped its sessions with the workers of the roster before it had listed the registrations, because the time since which they were unregistered was unset. The second session read their ends again, and apply_end() returned "can be acknowledged at once" for each task that was done in memory, although the record with that was not durable. If this leader was lost as well, neither the store nor a worker knew the ends. The same sessions took their workers out of the roster's record.

The same cause elsewhere: the ends of the other members of a gang, ends of an occurrence that is complete, ends on a worker whose lease expired before they were recorded, workers that were forgotten with such ends. The fake worker listed acknowledged ends again to a new leader, which hid the fault; now it forgets them.

Ruled out: a worker's own repetition of the runs (the second runs were ordered by the new leader, with run numbers of its term), and leases (none had lapsed between end and start).

Conclusion: an end waits for the latest version of its job's record, and a worker leaves the roster only when nothing of it is left to record.

--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -78,6 +78,7 @@
         watched_prefix::callbacks{[this](const store_item& item) { on_worker_item(item); },
                                   [this] {
                                       registrations_listed_ = true;
+                                      runner_->registrations_listed();
                                       on_workers_changed();
                                   }});
     operator_items_ = std::make_unique<watched_prefix>(
--- a/src/jobs/ports.h
+++ b/src/jobs/ports.h
@@ -36,7 +36,7 @@
 
 struct store_listing {
     std::vector<store_item> items;
-    std::int64_t at = 0; // revision of the store at which the last page was read
+    std::int64_t at = 0; // revision of the store at which the first page was read
 };
 
 struct store_condition {
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -110,6 +110,7 @@
 {
     const bool changed_registration = !handle.registered || !(handle.info() == info);
     handle.registered = true;
+    handle.unregistered_since.reset();
     if (!changed_registration) {
         return false;
     }
@@ -185,11 +186,20 @@
     auto* const handle = find_worker(worker);
     if (handle != nullptr && handle->registered) {
         handle->registered = false;
-        handle->unregistered_at = timers_.now();
+        handle->unregistered_since = timers_.now();
         listener_.on_workers_changed();
     }
 }
 
+void task_runner::registrations_listed()
+{
+    for (auto& [worker, handle] : worker_handles_) {
+        if (!handle.registered && !handle.unregistered_since) {
+            handle.unregistered_since = timers_.now();
+        }
+    }
+}
+
 std::vector<std::string> task_runner::forget_unregistered()
 {
     expire_open_starts();
@@ -197,9 +207,10 @@
     const auto now = timers_.now();
     for (auto next = worker_handles_.begin(); next != worker_handles_.end();) {
         const auto& handle = next->second;
-        const bool settled =
-            handle.session->dead() || now >= handle.unregistered_at + unregistered_retention;
-        if (!handle.registered && handle.assigned.empty() && settled &&
+        const bool retained = !handle.unregistered_since ||
+                              now < *handle.unregistered_since + unregistered_retention;
+        const bool idle = handle.assigned.empty() && handle.unacknowledged_ends.empty();
+        if (!handle.registered && idle && (!retained || handle.session->dead()) &&
             handle.session->resolved()) {
             forgotten.push_back(next->first);
             next = erase_worker(next);
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -58,7 +59,8 @@
     net::boot_time no_room_until{};    // it rejected a start for lack of capacity
     double failure_score = 0;          // number of failures, decaying over time
     net::boot_time failure_score_at{}; // when the score was computed
-    net::boot_time unregistered_at{};
+    // When its registration was found missing; nothing before the registrations have been listed.
+    std::optional<net::boot_time> unregistered_since;
     net::boot_time last_start_at{}; // when the last start was sent to it
     net::boot_time renewed_at{};    // when its last renewal was read, which states its capacity
 
@@ -117,7 +119,10 @@
     void worker_unregistered(const std::string& worker);
     // The worker's VM was powered off, which ended this incarnation of the worker.
     void end_incarnation(const worker_incarnation& life);
-    // Removes the workers that are not registered and run nothing, and returns their ids.
+    // All registrations have been read: the workers without one are not registered.
+    void registrations_listed();
+    // Removes the workers that are not registered, run nothing and keep no end that is still to be
+    // recorded. Returns their ids.
     std::vector<std::string> forget_unregistered();
 
     // An isolated start is sent once it is recorded, as is that of a task with
@@ -204,7 +209,10 @@
     void log_lost_task(const worker_handle& handle, const task& lost, loss_cause cause) const;
     void apply_ends(worker_handle& handle, const hold_report& report);
     void acknowledge_durable(worker_handle& handle);
+    // Returns the version of the job's record that must be durable before the end is acknowledged;
+    // 0: none.
     std::int64_t apply_end(worker_handle& handle, const ended_task& end);
+    std::int64_t latest_version(const std::optional<task_name>& name);
     std::int64_t apply_earlier_run_end(worker_handle& handle, task& target, const ended_task& end);
     void apply_running_tasks(worker_handle& handle, const hold_report& report);
     void apply_running_task(worker_handle& handle, const running_task& reported);
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -97,7 +97,10 @@
 void task_runner::release_lost_tasks(worker_handle& handle, const std::set<task*>& lost,
                                      loss_cause cause)
 {
-    handle.unacknowledged_ends.clear();
+    if (cause != loss_cause::lease_expired) {
+        // A worker that is only unreachable keeps its ends until they are acknowledged.
+        handle.unacknowledged_ends.clear();
+    }
     handle.strays.clear();
     if (!lost.empty()) {
         metrics_.record_lost_tasks(lost.size());
@@ -161,12 +164,20 @@
     acknowledge_durable(handle);
 }
 
+std::int64_t task_runner::latest_version(const std::optional<task_name>& name)
+{
+    const auto* const owner = name ? jobs_.find(name->job) : nullptr;
+    return owner == nullptr ? 0 : owner->version;
+}
+
 std::int64_t task_runner::apply_end(worker_handle& handle, const ended_task& end)
 {
     const auto name = parse_task_name(end.name);
     task* const target = name ? jobs_.find_task(*name) : nullptr;
     if (target == nullptr || target->phase == task_phase::done) {
-        return 0;
+        // An end that was reported before, by this worker or by another one, may have completed the
+        // task, or its whole gang or occurrence, without being recorded yet.
+        return latest_version(name);
     }
     const bool is_current_run =
         target->on_worker() && target->worker == handle.info().id && target->run == end.run;
--- a/src/jobs/testing/fake_store.cpp
+++ b/src/jobs/testing/fake_store.cpp
@@ -1,6 +1,7 @@
 #include "jobs/testing/fake_store.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jl::jobs::testing {
 
@@ -205,6 +206,13 @@
 
 void fake_store::port::list(const std::string& prefix, callback<store_listing> done)
 {
+    const auto delay = list_delays.find(prefix);
+    if (delay != list_delays.end()) {
+        done = [&timers = store_.timers_, wait = delay->second,
+                done = std::move(done)](const store_result<store_listing>& result) {
+            timers.call_after(wait, [done, result] { done(result); });
+        };
+    }
     call<store_listing>(
         [this, prefix] {
             store_result<store_listing> result;
@@ -260,8 +268,23 @@
     timers.defer([this] { store_.answer_watches(); });
 }
 
+bool fake_store::port::loses(const store_transaction& transaction) const
+{
+    return !lost_commits.empty() &&
+           std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                       [this](const auto& write) { return starts_with(write.key, lost_commits); });
+}
+
 void fake_store::port::commit(const store_transaction& transaction, callback<commit_outcome> done)
 {
+    if (loses(transaction)) {
+        store_.timers_.call_after(timeout, [done = std::move(done)] {
+            store_result<commit_outcome> result;
+            result.error = store_error::outcome_unknown;
+            done(result);
+        });
+        return;
+    }
     call<commit_outcome>(
         [this, transaction] {
             store_result<commit_outcome> result;
--- a/src/jobs/testing/fake_store.h
+++ b/src/jobs/testing/fake_store.h
@@ -84,6 +84,9 @@
     milliseconds timeout{300}; // a call without an answer fails after this time
     // Extra delay before the execution of a call in mode `answer_lost`.
     milliseconds lost_answer_delay{0};
+    // Commits that write a key with this prefix are neither executed nor answered; empty: none.
+    std::string lost_commits;
+    std::map<std::string, milliseconds> list_delays; // extra delay of list(), by prefix
 
     void get(const std::string& key, callback<store_item> done) override;
     void list(const std::string& prefix, callback<store_listing> done) override;
@@ -98,6 +101,7 @@
     // Executes `action` on the store and passes the result to `done`, subject to the mode.
     template <typename T>
     void call(std::function<store_result<T>()> action, callback<T> done);
+    bool loses(const store_transaction& transaction) const;
 
     fake_store& store_;
 };
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -116,13 +116,12 @@
                     fleet.acknowledged_done_.insert(end.name);
                 }
             }
-            const auto answer = [&fleet, id, order, done, &timers] {
-                const auto report = fleet.make_report(fleet.state(id), order);
+            const auto answer = [&fleet, id, done, &timers] {
+                const auto report = fleet.make_report(fleet.state(id));
                 timers.call_after(latency, [done, report] { done(report); });
             };
             const bool has_new =
-                std::any_of(worker.ended.begin(), worker.ended.end(),
-                            [&](const auto& end) { return end.number > order.last_seen_end; });
+                !worker.ended.empty() && worker.ended.back().number > worker.last_acknowledged_end;
             if (has_new || order.wait == 0ms) {
                 answer();
                 return;
@@ -490,7 +489,7 @@
     }
 }
 
-hold_report fake_workers::make_report(worker_state& worker, const hold_order& order)
+hold_report fake_workers::make_report(const worker_state& worker) const
 {
     hold_report report;
     report.result = make_result(order_status::accepted);
@@ -506,7 +505,7 @@
         report.running.push_back(entry);
     }
     for (const auto& ended : worker.ended) {
-        if (ended.number > order.last_seen_end) {
+        if (ended.number > worker.last_acknowledged_end && report.ended.size() < ends_per_report) {
             report.ended.push_back(ended);
         }
     }
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -79,6 +79,7 @@
     milliseconds max_lease{10000};
     milliseconds stop_time{200}; // between a stop order and the end of the run
     milliseconds startup{0};     // of each run, at 0 percent
+    std::size_t ends_per_report = 500;
     // The load that the reports state, by task name; 0 for all others.
     std::map<std::string, double> loads;
     // What each task requests. A start that brings a worker over its capacity is a violation; a
@@ -177,8 +178,8 @@
     order_result handle_pace(const std::string& id, const pace_order& order);
     // Ends the active run of the task, if any, and lists its end.
     void end(worker_state& worker, const std::string& task, end_kind kind);
-    // Returns the running tasks and the ends that the order has not acknowledged.
-    hold_report make_report(worker_state& worker, const hold_order& order);
+    // Returns the running tasks and the first page of the ends that no leader has acknowledged.
+    hold_report make_report(const worker_state& worker) const;
     void answer_holds(worker_state& worker);
     // Returns true if the worker has seen a higher token; otherwise stores this one.
     bool fenced(worker_state& worker, std::int64_t token);
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -119,8 +119,8 @@
     // The worker is no longer registered. The VM may have returned with another worker that is not
     // known yet, so wait until that one would have registered.
     return handle != nullptr && handle->assigned.empty() && !handle->registered &&
-           handle->session->resolved() &&
-           timers_.now() > handle->unregistered_at + worker_replacement_time;
+           handle->session->resolved() && handle->unregistered_since &&
+           timers_.now() > *handle->unregistered_since + worker_replacement_time;
 }
 
 void vm_directory::config_changed(const fleet_config& config)
