Find critical paths in time linear in the dependencies

Cause: critical_path_from() called itself for each later step that depends on a step, without keeping results, so it visited each of the 3^23 paths.

critical_paths() visits each dependency once, from the last step to the first.

Ruled out: the size of the document and the codec (the same 72 steps in three chains are accepted at once).

--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -389,9 +389,7 @@
         job restored;
         restored.spec.id = job_id;
         if (decode_job(damaged, restored)) {
-            for (std::size_t step = 0; step < restored.spec.steps.size(); ++step) {
-                critical_path_from(restored.spec, step);
-            }
+            EXPECT_EQ(critical_paths(restored.spec).size(), restored.spec.steps.size());
         }
     }
 }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -115,14 +115,14 @@
 milliseconds remaining_critical_path(const job& target, net::boot_time now)
 {
     milliseconds longest{0};
+    const auto paths = critical_paths(target.spec);
     for (const auto& occurrence : target.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& progress = occurrence.steps[step];
             if (progress.complete()) {
                 continue;
             }
-            const auto later_steps =
-                critical_path_from(target.spec, step) - target.spec.steps[step].estimate;
+            const auto later_steps = paths[step] - target.spec.steps[step].estimate;
             longest = std::max(longest, later_steps + remaining_step_duration(progress, now));
         }
     }
--- a/src/jobs/model.cpp
+++ b/src/jobs/model.cpp
@@ -21,12 +21,6 @@
     return value;
 }
 
-bool depends_on(const step_spec& step, std::size_t earlier)
-{
-    return std::find(step.after.begin(), step.after.end(), static_cast<int>(earlier)) !=
-           step.after.end();
-}
-
 } // namespace
 
 bool worker_registration::operator==(const worker_registration& other) const
@@ -74,24 +68,25 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-milliseconds critical_path_from(const job_spec& spec, std::size_t step)
+// Visits each dependency once. The number of paths through the steps may be exponential.
+std::vector<milliseconds> critical_paths(const job_spec& spec)
 {
-    milliseconds longest{0};
-    for (std::size_t later = step + 1; later < spec.steps.size(); ++later) {
-        if (depends_on(spec.steps[later], step)) {
-            longest = std::max(longest, critical_path_from(spec, later));
+    std::vector<milliseconds> paths(spec.steps.size(), milliseconds(0));
+    for (std::size_t step = spec.steps.size(); step-- > 0;) {
+        paths[step] += spec.steps[step].estimate; // holds the longest path of the later steps
+        for (const int earlier : spec.steps[step].after) {
+            auto& path = paths[static_cast<std::size_t>(earlier)];
+            path = std::max(path, paths[step]);
         }
     }
-    return spec.steps[step].estimate + longest;
+    return paths;
 }
 
 milliseconds critical_path_duration(const job_spec& spec)
 {
-    milliseconds longest{0};
-    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-        longest = std::max(longest, critical_path_from(spec, step));
-    }
-    return longest;
+    const auto paths = critical_paths(spec);
+    const auto longest = std::max_element(paths.begin(), paths.end());
+    return longest == paths.end() ? milliseconds(0) : *longest;
 }
 
 milliseconds completion_objective(const queue_config& queue, const job_spec& spec)
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -136,9 +136,9 @@
     int max_concurrent = 1; // VMs of the wave that may be out of service at the same time
 };
 
-// Returns the estimated duration of the longest chain of dependent steps that starts with `step`,
-// including `step` itself.
-milliseconds critical_path_from(const job_spec& spec, std::size_t step);
+// Returns for each step the estimated duration of the longest chain of dependent steps that starts
+// with it, including the step itself. The job must be valid, see is_valid().
+std::vector<milliseconds> critical_paths(const job_spec& spec);
 // Returns the estimated duration of the longest chain of dependent steps of the job.
 milliseconds critical_path_duration(const job_spec& spec);
 // Returns the time from its submission within which a job of the queue earns full credit.
