Read all ends of a worker before concluding from missing ones

Cause: a worker lists 500 ends at a time, and the rest once these are acknowledged. A task that was neither running nor among the first 500 ends counted as one that runs nowhere, and was started again.

hold_report::has_more_ends tells that the list was full. A session is resolved only once all ends have been read; meanwhile it renews the lease. The same conclusion was drawn without a change of leaders (release_vanished_tasks()) and before VM orders (has_no_tasks()).

--- a/src/jobs/ports.h
+++ b/src/jobs/ports.h
@@ -184,7 +184,10 @@
 struct hold_report {
     order_result result;
     std::vector<running_task> running;
-    std::vector<ended_task> ended; // with a number above hold_order::last_seen_end
+    // Those with the lowest numbers above hold_order::last_seen_end.
+    std::vector<ended_task> ended;
+    // The list of ends is full, so there may be more. They are listed once these are acknowledged.
+    bool has_more_ends = false;
 };
 
 // Sends orders to one incarnation of one worker.
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -311,10 +311,13 @@
 }
 
 // Releases the tasks that the worker had accepted before the report was requested, but that the
-// report does not contain.
+// report does not contain. Nothing follows from a report without all ends.
 void task_runner::release_vanished_tasks(worker_handle& handle, const hold_report& report,
                                          net::boot_time requested_at)
 {
+    if (report.has_more_ends) {
+        return;
+    }
     std::unordered_map<std::string, std::int64_t> reported_runs;
     for (const auto& reported : report.running) {
         reported_runs[reported.name] = reported.run;
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -509,6 +509,7 @@
             report.ended.push_back(ended);
         }
     }
+    report.has_more_ends = report.ended.size() >= ends_per_report;
     return report;
 }
 
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -110,8 +110,9 @@
     }
     const auto* const handle = worker_on_vm(vm);
     if (handle != nullptr && handle->registered && !handle->session->dead()) {
-        // A worker that has not answered this leader yet may run tasks of the previous one.
-        return handle->session->contacted() && handle->assigned.empty();
+        // A worker that has not answered this leader yet may run tasks of the previous one, or keep
+        // their ends.
+        return handle->session->all_ends_read() && handle->assigned.empty();
     }
     if (in_standby_pool(*listed) || listed->worker.empty()) {
         return true;
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -105,7 +105,7 @@
 
 bool worker_session::resolved() const
 {
-    return contacted_ || dead_ || timers_.now() >= lease_bound_;
+    return all_ends_read() || dead_ || timers_.now() >= lease_bound_;
 }
 
 void worker_session::request_report()
@@ -157,7 +157,7 @@
     }
     hold_in_flight_ = true;
     const bool has_unacknowledged_ends = last_reported_end_ > acknowledged_;
-    const bool in_use = listener_.in_use(*this);
+    const bool in_use = listener_.in_use(*this) || has_more_ends_;
     hold_order order;
     order.fencing_token = token_;
     // Behind a new connection may be a new incarnation, which numbers its ends anew.
@@ -229,6 +229,7 @@
         return;
     }
     contacted_ = true;
+    has_more_ends_ = report.has_more_ends;
     listener_.on_report(*this, report, requested_at);
     if (!*alive || dead_) {
         return;
@@ -248,7 +249,7 @@
 void worker_session::acknowledge(std::int64_t number)
 {
     acknowledged_ = std::max(acknowledged_, number);
-    if (!hold_in_flight_ && !dead_ && last_reported_end_ <= acknowledged_) {
+    if (!hold_in_flight_ && !dead_ && (last_reported_end_ <= acknowledged_ || has_more_ends_)) {
         const auto earliest = last_hold_sent_at_ + hold_interval;
         const auto now = timers_.now();
         schedule_hold(earliest > now ? earliest - now : std::chrono::nanoseconds(0));
@@ -272,6 +273,7 @@
         worker_clock_.reset();
         acknowledged_ = 0;
         last_reported_end_ = 0;
+        has_more_ends_ = false;
         const auto alive = alive_;
         listener_.on_restarted(*this, former);
         if (!*alive) {
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -91,6 +91,9 @@
     // True once the worker has answered this leader, after which it refuses orders of previous
     // ones.
     bool contacted() const { return contacted_; }
+    // True once the worker has listed all ends that it keeps. Until then, a task that it does not
+    // report may have ended there.
+    bool all_ends_read() const { return contacted_ && !has_more_ends_; }
     bool reachable() const { return failed_holds_ == 0; }
     // The last time at which the worker is known to have been alive.
     net::boot_time last_alive() const { return last_alive_; }
@@ -157,6 +160,7 @@
     net::boot_time lease_bound_;
     bool expiry_reported_ = false;
     bool contacted_ = false;
+    bool has_more_ends_ = false; // the last report did not list all ends
     bool dead_ = false;
     int failed_holds_ = 0; // consecutive ones
     net::boot_time last_alive_{};
