Reserve a worker only for room that becomes free

Cause: reserve_worker() closes one worker for each long-running task that fits nowhere, also where long-running tasks occupy it and nothing ends. As many waiting steps as workers closed the pool.

choose_reservation() now counts what becomes free: tasks that end by themselves or are being stopped; accelerators too. At most half of a pool is reserved at a time.

Ruled out: the queue's priority (0) and the number of attempts; no start of the short job was refused, none was sent.

The test reserves_the_worker_with_the_largest_free_share_of_the_demand states the releasable room in place of the worker's size, which is gone; its checks are unchanged.

--- a/src/decisions/job_decisions_test.cpp
+++ b/src/decisions/job_decisions_test.cpp
@@ -73,8 +73,7 @@
     candidate.worker = name;
     candidate.free_millicores = free_millicores;
     candidate.free_memory_mb = 131072;
-    candidate.total_millicores = 64000;
-    candidate.total_memory_mb = 131072;
+    candidate.releasable_millicores = 64000 - free_millicores;
     return candidate;
 }
 
@@ -175,11 +174,33 @@
     task.memory_mb = 40000;
     auto little_memory = make_candidate("a", 64000);
     little_memory.free_memory_mb = 4000;
+    little_memory.releasable_memory_mb = 127072;
     EXPECT_EQ(choose_reservation(task, {little_memory, make_candidate("b", 6000)}), 1U);
     task.millicores = 70000;
     EXPECT_FALSE(choose_reservation(task, {make_candidate("b", 6000)}));
 }
 
+// Guards against workers that are kept free although nothing that occupies them ends.
+TEST(task_placement, reserves_no_worker_whose_room_does_not_become_free)
+{
+    task_demand task;
+    task.millicores = 8000;
+    task.memory_mb = 40000;
+    task.accelerators = 1;
+    auto occupied = make_candidate("a", 6000);
+    occupied.free_accelerators = 1;
+    occupied.releasable_millicores = 1999;
+    EXPECT_FALSE(choose_reservation(task, {occupied}));
+    occupied.releasable_millicores = 2000;
+    EXPECT_EQ(choose_reservation(task, {occupied}), 0U);
+    occupied.free_memory_mb = 39999;
+    EXPECT_FALSE(choose_reservation(task, {occupied}));
+    occupied.releasable_memory_mb = 1;
+    EXPECT_EQ(choose_reservation(task, {occupied}), 0U);
+    occupied.free_accelerators = 0;
+    EXPECT_FALSE(choose_reservation(task, {occupied}));
+}
+
 // Filler tasks stop while serving tasks on the same worker miss their target, and speed up in
 // steps.
 TEST(filler_pace, follows_the_latency_of_serving_tasks)
--- a/src/decisions/task_placement.cpp
+++ b/src/decisions/task_placement.cpp
@@ -34,6 +34,15 @@
            task.accelerators <= worker.free_accelerators && satisfies_constraints(task, worker);
 }
 
+bool fits_later(const task_demand& task, const candidate_worker& worker)
+{
+    auto later = worker;
+    later.free_millicores += worker.releasable_millicores;
+    later.free_memory_mb += worker.releasable_memory_mb;
+    later.free_accelerators += worker.releasable_accelerators;
+    return fits(task, later);
+}
+
 // Returns the share of the task's demand that the worker has free, for the scarcer of CPU and
 // memory.
 double free_share(const task_demand& task, const candidate_worker& worker)
@@ -138,9 +147,7 @@
     std::optional<std::size_t> best;
     for (std::size_t index = 0; index < workers.size(); ++index) {
         const auto& worker = workers[index];
-        if (!worker.isolated_job.empty() || !satisfies_constraints(task, worker) ||
-            needed_millicores(task) > worker.total_millicores ||
-            task.memory_mb > worker.total_memory_mb) {
+        if (!worker.isolated_job.empty() || !fits_later(task, worker)) {
             continue;
         }
         if (!best || free_share(task, worker) > free_share(task, workers[*best])) {
--- a/src/decisions/task_placement.h
+++ b/src/decisions/task_placement.h
@@ -20,8 +20,10 @@
     std::int64_t free_millicores = 0;
     std::int64_t free_memory_mb = 0;
     std::int64_t free_accelerators = 0;
-    std::int64_t total_millicores = 0;
-    std::int64_t total_memory_mb = 0;
+    // What becomes free when the tasks on the worker have ended that end by themselves.
+    std::int64_t releasable_millicores = 0;
+    std::int64_t releasable_memory_mb = 0;
+    std::int64_t releasable_accelerators = 0;
     int tasks_of_step = 0;    // tasks on the worker that belong to the step being placed
     int serving_tasks = 0;    // tasks with a latency target
     int filler_tasks = 0;     // best-effort tasks that use only idle CPU time
@@ -94,9 +96,12 @@
 };
 
 // Returns the index in `workers` of the worker to keep free for a task that fits on none now;
-// nothing if the task would not fit on any worker even if it were empty.
+// nothing if it would not fit on any worker when the tasks have ended that end by themselves.
 //
-// Load pattern: a large task never starts if small tasks take the place of each one that ends.
+// Load patterns:
+// - A large task never starts if small tasks take the place of each one that ends.
+// - Long-running tasks fill the pool and others wait. Workers that are kept free for these would
+//   stay so, and all other jobs would wait with them.
 std::optional<std::size_t> choose_reservation(const task_demand& task,
                                               const std::vector<candidate_worker>& workers);
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -445,13 +445,11 @@
     return true;
 }
 
-// Excludes one worker from the rest of this pass, so that `demand` fits on it once enough of its
-// tasks have ended.
+// Keeps one worker free on which `demand` fits once enough of its tasks have ended, if there is one.
 void job_scheduler::reserve_worker(const decisions::task_demand& demand, pool_candidates& pool)
 {
     if (const auto worker = decisions::choose_reservation(demand, pool.candidates)) {
-        pool.candidates[*worker].free_millicores = 0;
-        pool.candidates[*worker].free_memory_mb = 0;
+        pool.reserve(*worker);
     }
 }
 
--- a/src/jobs/pool_candidates.cpp
+++ b/src/jobs/pool_candidates.cpp
@@ -26,6 +26,18 @@
     return false;
 }
 
+// Long-running tasks give their room back only if they are being stopped.
+void add_releasable(decisions::candidate_worker& candidate, const task& assigned)
+{
+    const auto& spec = assigned.spec();
+    if (spec.long_running && assigned.phase != task_phase::stopping) {
+        return;
+    }
+    candidate.releasable_millicores += spec.filler ? 0 : spec.request.millicores;
+    candidate.releasable_memory_mb += spec.request.memory_mb;
+    candidate.releasable_accelerators += spec.request.accelerators;
+}
+
 decisions::candidate_worker make_candidate(const worker_handle& handle, net::boot_time now)
 {
     const auto& info = handle.info();
@@ -37,8 +49,6 @@
     candidate.free_millicores = info.capacity.millicores;
     candidate.free_memory_mb = info.capacity.memory_mb;
     candidate.free_accelerators = info.capacity.accelerators;
-    candidate.total_millicores = info.capacity.millicores;
-    candidate.total_memory_mb = info.capacity.memory_mb;
     // The score falls with the seconds since the last failure.
     const std::chrono::duration<double> age = now - handle.failure_score_at;
     candidate.failure_score = handle.failure_score / (1.0 + age.count());
@@ -46,6 +56,7 @@
     candidate.tasks = static_cast<int>(handle.assigned.size());
     for (const auto* assigned : handle.assigned) {
         subtract_demand(candidate, assigned->spec());
+        add_releasable(candidate, *assigned);
         candidate.long_running_tasks += assigned->spec().long_running ? 1 : 0;
         candidate.crash_suspects += assigned->crashes.empty() ? 0 : 1;
         if (isolates_worker(*assigned, handle.session->last_alive())) {
@@ -129,7 +140,7 @@
     if (candidates[worker].isolated_job == job) {
         return true;
     }
-    if (isolated_workers_ >= std::max<std::size_t>(1, candidates.size() / 2)) {
+    if (isolated_workers_ >= max_closed_workers()) {
         return false;
     }
     ++isolated_workers_;
@@ -137,6 +148,25 @@
     return true;
 }
 
+bool pool_candidates::reserve(std::size_t worker)
+{
+    if (reserved_workers_ >= max_closed_workers()) {
+        return false;
+    }
+    ++reserved_workers_;
+    auto& reserved = candidates[worker];
+    reserved.free_millicores = 0;
+    reserved.free_memory_mb = 0;
+    reserved.releasable_millicores = 0;
+    reserved.releasable_memory_mb = 0;
+    return true;
+}
+
+std::size_t pool_candidates::max_closed_workers() const
+{
+    return std::max<std::size_t>(1, candidates.size() / 2);
+}
+
 std::vector<std::string> pool_candidates::workers() const
 {
     std::vector<std::string> names;
--- a/src/jobs/pool_candidates.h
+++ b/src/jobs/pool_candidates.h
@@ -37,6 +37,9 @@
     // Opens the worker to one job only. Returns false if too many are isolated already: suspects
     // must not keep all other tasks waiting.
     bool isolate(std::size_t worker, std::string_view job);
+    // Starts no more tasks on the worker in this pass, so that a waiting task fits on it once enough
+    // tasks have ended there. Returns false if too many workers are reserved already.
+    bool reserve(std::size_t worker);
     // Ids of the workers.
     std::vector<std::string> workers() const;
 
@@ -46,8 +49,12 @@
     net::boot_time now; // when the pass began
 
 private:
+    // Limit of the workers that are kept from most jobs, for each of the reasons.
+    std::size_t max_closed_workers() const;
+
     std::unordered_map<std::string_view, std::size_t> position_; // in `candidates`, by worker
     std::size_t isolated_workers_ = 0;                           // open to one job only
+    std::size_t reserved_workers_ = 0;
     bool workers_check_capacity_;
 };
 
