Count the leases that late orders grant a restarted worker

Cause found in virtual time: the end of a lease is a time on the worker's clock, which starts anew with each incarnation, so an order to the former one grants the next one the longest lease whenever it arrives. The leader counted its own shorter lease, and released a task whose start might still begin on the restarted worker as soon as that had run out, although its stop had not been confirmed.

After a restart the session counts the longest lease, for the orders of a former leader from the time until which they may be carried out. A task whose start may begin on the known new incarnation stays with its worker until its stop is confirmed or no such start can run any more.

The test of expiring starts states the time as the caller now passes it; its checks are unchanged.

--- a/src/jobs/model_test.cpp
+++ b/src/jobs/model_test.cpp
@@ -1,5 +1,3 @@
-#include "jobs/model.h"
-
 #include <algorithm>
 #include <functional>
 #include <string>
@@ -7,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "jobs/model.h"
 #include "jobs/testing/test_fleet.h"
 
 namespace jl::jobs {
--- a/src/jobs/open_starts.cpp
+++ b/src/jobs/open_starts.cpp
@@ -37,10 +37,10 @@
     return result;
 }
 
-void open_starts::expire(net::boot_time now)
+void open_starts::expire(net::boot_time sent_before)
 {
     for (auto next = runs_.begin(); next != runs_.end();) {
-        const bool expired = next->second.last_sent_at + late_execution_limit < now;
+        const bool expired = next->second.last_sent_at < sent_before;
         next = expired ? runs_.erase(next) : std::next(next);
     }
 }
--- a/src/jobs/open_starts.h
+++ b/src/jobs/open_starts.h
@@ -34,8 +34,8 @@
     int attempts(const task_name& task, std::int64_t run) const;
     bool empty() const { return runs_.empty(); }
     std::vector<task_run> runs() const;
-    // Drops the attempts that are so old that nothing carries them out any more.
-    void expire(net::boot_time now);
+    // Drops the runs whose last attempt was sent before this time.
+    void expire(net::boot_time sent_before);
 
 private:
     using key = std::pair<std::string, std::int64_t>; // name of the task, run
--- a/src/jobs/open_starts_test.cpp
+++ b/src/jobs/open_starts_test.cpp
@@ -50,9 +50,9 @@
 {
     open_starts starts;
     starts.on_sent(task, 1, start);
-    starts.expire(start + 12s); // orders are carried out as late as this
+    starts.expire(start);
     EXPECT_FALSE(starts.empty());
-    starts.expire(start + 1min);
+    starts.expire(start + 1ms);
     EXPECT_TRUE(starts.empty());
 }
 
--- a/src/jobs/paged_ends_test.cpp
+++ b/src/jobs/paged_ends_test.cpp
@@ -27,56 +27,56 @@
 protected:
     void SetUp() override
     {
-        ASSERT_TRUE(fleet_.start_leader_and_standby());
+        ASSERT_TRUE(fleet.start_leader_and_standby());
         for (int number = 0; number < job_count; ++number) {
             auto spec = make_job(job_id(number), 1, tasks_per_job);
             spec.steps[0].request = {90, 128, 0};
-            fleet_.leader()->submit(spec, [](submit_outcome) {});
+            fleet.leader()->submit(spec, [](submit_outcome) {});
         }
     }
 
     void expect_each_task_runs_once()
     {
         for (int number = 0; number < job_count; ++number) {
-            EXPECT_TRUE(fleet_.await_state(job_id(number), job_state::completed, 20s));
+            EXPECT_TRUE(fleet.await_state(job_id(number), job_state::completed, 20s));
             for (int index = 0; index < tasks_per_job; ++index) {
                 const auto name = task_name{job_id(number), 0, 0, index}.to_string();
-                EXPECT_EQ(fleet_.workers.start_count(name), 1) << name;
+                EXPECT_EQ(fleet.workers.start_count(name), 1) << name;
             }
         }
-        for (const auto& violation : fleet_.workers.violations()) {
+        for (const auto& violation : fleet.workers.violations()) {
             ADD_FAILURE() << violation;
         }
     }
 
-    test_fleet fleet_{1};
+    test_fleet fleet{1};
 };
 
 // Guards against a new leader that takes a task for one that runs nowhere because its end is not on
 // the first page.
 TEST_F(paged_ends, new_leader_reads_all_pages_before_it_starts_tasks_again)
 {
-    fleet_.workers.default_plan.duration = 2000ms;
-    fleet_.timers.run_for(1900ms);
-    ASSERT_EQ(fleet_.workers.running("w0"), job_count * tasks_per_job);
-    fleet_.kill("a");
+    fleet.workers.default_plan.duration = 2000ms;
+    fleet.timers.run_for(1900ms);
+    ASSERT_EQ(fleet.workers.running("w0"), job_count * tasks_per_job);
+    fleet.kill("a");
     expect_each_task_runs_once();
 }
 
 // Guards against the same conclusion about a task that this leader has started.
 TEST_F(paged_ends, task_whose_end_is_on_a_later_page_has_not_vanished)
 {
-    fleet_.workers.default_plan.duration = 1000ms;
+    fleet.workers.default_plan.duration = 1000ms;
     expect_each_task_runs_once();
 }
 
 // Guards against a worker whose lease runs out while its leader reads the pages in a slow store.
 TEST_F(paged_ends, new_leader_with_a_slow_store_reads_all_pages)
 {
-    fleet_.workers.default_plan.duration = 2000ms;
-    fleet_.timers.run_for(1900ms);
-    fleet_.nodes.at("b")->store().latency = 250ms;
-    fleet_.kill("a");
+    fleet.workers.default_plan.duration = 2000ms;
+    fleet.timers.run_for(1900ms);
+    fleet.nodes.at("b")->store().latency = 250ms;
+    fleet.kill("a");
     expect_each_task_runs_once();
 }
 
--- /dev/null
+++ b/src/jobs/restarted_workers_test.cpp
@@ -0,0 +1,120 @@
+// Workers that restart under their ids while orders to their former incarnations are on the way. A
+// lease ends at a time on the worker's clock, which starts anew, so such an order grants the
+// longest lease that the worker allows.
+
+#include <string>
+#include <tuple>
+
+#include <gtest/gtest.h>
+
+#include "jobs/engine.h"
+#include "jobs/testing/test_fleet.h"
+
+namespace jl::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::make_job;
+using testing::test_fleet;
+using testing::worker_mode;
+
+const std::string job_id = "00000000000000a1";
+const std::string only_task = job_id + ".0.0.0";
+
+class restarted_workers : public ::testing::Test {
+protected:
+    // Starts a leader. The clocks of the workers are well ahead of that of a new incarnation.
+    void start_leader()
+    {
+        fleet.workers.max_lease = 6000ms;
+        fleet.workers.default_plan.duration = 9s;
+        fleet.renew_registrations(1s);
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        fleet.timers.run_for(12s);
+    }
+
+    // Worker w0 starts again with a new clock, and its registration says so.
+    void restart_first_worker()
+    {
+        fleet.workers.restart("w0");
+        fleet.list_worker(fleet.workers.registration("w0"));
+    }
+
+    void cut_off_first_worker(milliseconds duration)
+    {
+        fleet.workers.set_mode("w0", worker_mode::unreachable);
+        fleet.timers.run_for(duration);
+        fleet.workers.set_mode("w0", worker_mode::answering);
+    }
+
+    void expect_completion_without_violation()
+    {
+        EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 60s));
+        for (const auto& violation : fleet.workers.violations()) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    test_fleet fleet{2};
+};
+
+// (late order delay, time from the start to the worker's restart)
+class late_start_after_restart
+    : public restarted_workers,
+      public ::testing::WithParamInterface<std::tuple<milliseconds, milliseconds>> {};
+
+// Guards against a task that is started elsewhere when the lease has expired that its leader
+// counts, while a late start has begun it on the restarted worker.
+TEST_P(late_start_after_restart, does_not_run_beside_the_next_run)
+{
+    const auto [delay, restart_after] = GetParam();
+    start_leader();
+    fleet.workers.late_order_delay = delay;
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(restart_after);
+    restart_first_worker();
+    cut_off_first_worker(14s);
+    expect_completion_without_violation();
+}
+
+INSTANTIATE_TEST_SUITE_P(moments, late_start_after_restart,
+                         ::testing::Combine(::testing::Values(2000ms, 4000ms, 6000ms, 8000ms),
+                                            ::testing::Values(100ms, 700ms, 1500ms)));
+
+// Guards against the same after a prompt start, whose answer is the first sign of the restart.
+TEST_F(restarted_workers, lease_granted_across_a_restart_is_counted_in_full)
+{
+    start_leader();
+    fleet.renewals_paused = true;
+    fleet.workers.restart("w0");
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    while (!fleet.workers.is_running(only_task)) {
+        fleet.timers.run_for(1ms);
+    }
+    ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+    cut_off_first_worker(14s); // the answer is on its way, the stop that follows gets lost
+    expect_completion_without_violation();
+}
+
+// Guards against a new leader that counts only the lease of its predecessor, whose late start
+// begins a task on a worker that has restarted.
+TEST_F(restarted_workers, new_leader_waits_for_late_starts_on_a_restarted_worker)
+{
+    start_leader();
+    fleet.workers.late_order_delay = 9s;
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(100ms);
+    fleet.kill("a");
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.add_node("b");
+    ASSERT_TRUE(fleet.await_leader());
+    restart_first_worker();
+    cut_off_first_worker(14s);
+    expect_completion_without_violation();
+}
+
+} // namespace
+} // namespace jl::jobs
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -44,6 +44,7 @@
       listener_(listener),
       metrics_(metrics),
       settings_(std::move(settings)),
+      created_at_(timers.now()),
       crashes_(timers, jobs, [this](task& suspect) { listener_.on_crash_evidence(suspect); })
 {
 }
@@ -203,12 +204,13 @@
 std::vector<std::string> task_runner::forget_unregistered()
 {
     expire_open_starts();
+    release_tasks_kept_after_lease();
     std::vector<std::string> forgotten;
     const auto now = timers_.now();
     for (auto next = worker_handles_.begin(); next != worker_handles_.end();) {
         const auto& handle = next->second;
-        const bool retained = !handle.unregistered_since ||
-                              now < *handle.unregistered_since + unregistered_retention;
+        const bool retained =
+            !handle.unregistered_since || now < *handle.unregistered_since + unregistered_retention;
         const bool idle = handle.assigned.empty() && handle.unacknowledged_ends.empty();
         if (!handle.registered && idle && (!retained || handle.session->dead()) &&
             handle.session->resolved()) {
@@ -592,10 +594,17 @@
            (status == order_status::rejected && open_attempts(name, run, worker) == 0);
 }
 
+// A start that is carried out as late as possible, by a worker that has restarted, runs for the
+// longest lease.
+net::boot_time task_runner::oldest_open_start() const
+{
+    return timers_.now() - late_execution_limit - settings_.session.max_lease;
+}
+
 void task_runner::expire_open_starts()
 {
     for (auto next = open_starts_.begin(); next != open_starts_.end();) {
-        next->second.expire(timers_.now());
+        next->second.expire(oldest_open_start());
         next = next->second.empty() ? open_starts_.erase(next) : std::next(next);
     }
 }
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -63,6 +63,7 @@
     std::optional<net::boot_time> unregistered_since;
     net::boot_time last_start_at{}; // when the last start was sent to it
     net::boot_time renewed_at{};    // when its last renewal was read, which states its capacity
+    net::boot_time restarted_at{};  // when its last restart under the same id was learned of
 
     // Runs on the worker that belong to no task in `assigned`. They are being stopped and occupy
     // the worker until a report shows that they have ended.
@@ -195,7 +196,14 @@
     // True if a stop with this result has ended the run, and no start can begin it any more.
     bool is_stop_settled(const task_name& name, std::int64_t run, const std::string& worker,
                          order_status status) const;
+    // The latest time at which a start without an answer was sent that has no effect any more.
+    net::boot_time oldest_open_start() const;
     void expire_open_starts();
+    // True if a start that was sent before the worker restarted may have begun the task on the new
+    // incarnation, or may still do so. The leader doesn't know how long its lease is there.
+    bool may_run_unseen(const worker_handle& handle, const task& target) const;
+    // Releases the tasks that were kept because of may_run_unseen() when the lease expired.
+    void release_tasks_kept_after_lease();
     void on_stray_stopped(const task_name& name, std::int64_t run, const std::string& worker,
                           const order_result& result);
     static void forget_ended_strays(worker_handle& handle, const hold_report& report,
@@ -205,6 +213,7 @@
     // `release` also drops a suspicion against the run, which has ended without a crash.
     void release(task& target);
     void requeue(task& target);
+    void on_lease_expired(worker_handle& handle);
     void release_lost_tasks(worker_handle& handle, const std::set<task*>& lost, loss_cause cause);
     void log_lost_task(const worker_handle& handle, const task& lost, loss_cause cause) const;
     void apply_ends(worker_handle& handle, const hold_report& report);
@@ -226,6 +235,7 @@
     task_listener& listener_;
     job_metrics& metrics_;
     runner_settings settings_;
+    net::boot_time created_at_;
     crash_ledger crashes_;
     std::map<std::string, worker_handle> worker_handles_;                     // by worker id
     std::unordered_map<std::string, std::vector<std::string>> workers_by_vm_; // by VM
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -1,6 +1,7 @@
 // Processing of worker reports (running and ended tasks) and of lost workers.
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -62,6 +63,7 @@
     if (handle->loaded_from_roster && !session.contacted()) {
         services_with_unseen_losses_.insert(handle->info().service);
     }
+    handle->restarted_at = timers_.now();
     auto ended = identity_of(*handle);
     ended.life = former;
     crashes_.tasks_lost(ended, handle->assigned, loss_of(session), loss_cause::restarted);
@@ -85,6 +87,10 @@
 void task_runner::on_lost(worker_session& session, loss_cause cause)
 {
     if (auto* const handle = find_worker(session.info().id)) {
+        if (cause == loss_cause::lease_expired) {
+            on_lease_expired(*handle);
+            return;
+        }
         if (handle->loaded_from_roster && !session.contacted() &&
             cause != loss_cause::powered_off) {
             services_with_unseen_losses_.insert(handle->info().service);
@@ -94,6 +100,51 @@
     }
 }
 
+void task_runner::on_lease_expired(worker_handle& handle)
+{
+    const auto& session = *handle.session;
+    if (handle.loaded_from_roster && !session.contacted()) {
+        services_with_unseen_losses_.insert(handle.info().service);
+    }
+    std::set<task*> lost;
+    std::copy_if(handle.assigned.begin(), handle.assigned.end(), std::inserter(lost, lost.end()),
+                 [&](const task* target) { return !may_run_unseen(handle, *target); });
+    crashes_.tasks_lost(identity_of(handle), lost, loss_of(session), loss_cause::lease_expired);
+    release_lost_tasks(handle, lost, loss_cause::lease_expired);
+}
+
+bool task_runner::may_run_unseen(const worker_handle& handle, const task& target) const
+{
+    const bool stop_unconfirmed =
+        target.phase == task_phase::stopping && target.order_confirmed_at == order_unconfirmed;
+    if (!stop_unconfirmed || target.start_sent_at >= handle.restarted_at) {
+        return false;
+    }
+    return start_is_open(target) ||
+           (started_by_former_leader(target) && created_at_ > oldest_open_start());
+}
+
+void task_runner::release_tasks_kept_after_lease()
+{
+    const auto now = timers_.now();
+    for (auto& [worker, handle] : worker_handles_) {
+        if (handle.assigned.empty() || handle.restarted_at == net::boot_time{} ||
+            handle.session->lease_bound() > now) {
+            continue;
+        }
+        std::set<task*> kept;
+        for (auto* const target : handle.assigned) {
+            if (target->phase == task_phase::stopping &&
+                target->start_sent_at < handle.restarted_at && !may_run_unseen(handle, *target)) {
+                kept.insert(target);
+            }
+        }
+        if (!kept.empty()) {
+            release_lost_tasks(handle, kept, loss_cause::lease_expired);
+        }
+    }
+}
+
 void task_runner::release_lost_tasks(worker_handle& handle, const std::set<task*>& lost,
                                      loss_cause cause)
 {
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -138,12 +138,28 @@
     const auto elapsed =
         std::chrono::duration_cast<milliseconds>(timers_.now() - worker_clock_read_at_);
     const auto until = *worker_clock_ + elapsed + settings_.lease;
-    lease_bound_ =
-        std::max(lease_bound_,
-                 worker_clock_read_at_ + on_local_clock(until - *worker_clock_) + expiry_margin);
+    raise_lease_bound(worker_clock_read_at_ + on_local_clock(until - *worker_clock_) +
+                      expiry_margin);
+    return until;
+}
+
+void worker_session::raise_lease_bound(net::boot_time bound)
+{
+    lease_bound_ = std::max(lease_bound_, bound);
     expiry_reported_ = false;
     check_lease_expiry();
-    return until;
+}
+
+// A lease ends at a time on the worker's clock, which starts anew with each incarnation, so an
+// order to the former one grants the longest lease. Orders of previous leaders are refused once the
+// worker has answered this one.
+void worker_session::count_leases_across_restart()
+{
+    const bool has_late_orders_of_previous_leader =
+        !contacted_ && settings_.previous_leader_lease > 0ms;
+    const auto last_order =
+        has_late_orders_of_previous_leader ? timers_.now() + late_execution_limit : timers_.now();
+    raise_lease_bound(last_order + on_local_clock(settings_.max_lease) + expiry_margin);
 }
 
 void worker_session::send_hold()
@@ -274,6 +290,7 @@
         acknowledged_ = 0;
         last_reported_end_ = 0;
         has_more_ends_ = false;
+        count_leases_across_restart();
         const auto alive = alive_;
         listener_.on_restarted(*this, former);
         if (!*alive) {
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -20,6 +20,7 @@
     // Upper bound on the time for which tasks of a previous leader may still run: the rest of its
     // leadership plus the last lease that it granted to a worker.
     milliseconds previous_leader_lease{0};
+    milliseconds max_lease{10000}; // the worker's limit, which a longer lease is cut to
     // Returns true while this process certainly is the leader. Called right before each order is
     // sent, since the process may have been suspended after the order was decided.
     std::function<bool()> may_act;
@@ -138,6 +139,9 @@
     // Notes a call without an answer that failed before its timeout.
     void record_broken_connection(net::boot_time sent_at, milliseconds timeout);
     void check_lease_expiry();
+    void raise_lease_bound(net::boot_time bound);
+    // The worker has restarted; an order to its former incarnation may reach the present one.
+    void count_leases_across_restart();
     // Extends `lease_bound_` by the next lease and returns that lease's end on the worker's clock.
     std::optional<milliseconds> extend_lease();
     // Calls `done` with order_status::not_sent, after this call has returned.
