Start a gang that needs more than half of its pool after a crash

Cause: its members become suspects, which start on workers opened to their job only. pool_candidates::isolate() limits those to half of the pool, and a gang starts all at once or not at all.

A gang now gets as many workers as it needs, or none if its members have no places; other suspects keep the limit.

Ruled out: room (27 places for 13 members, nothing else ran).

--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -141,8 +141,7 @@
     std::map<std::string, std::vector<job*>> by_service;
     for (auto* const target : jobs_.active()) {
         if (!target->durable() || !target->active() ||
-            target->services_version > target->durable_version ||
-            !has_waiting_task(*target, now)) {
+            target->services_version > target->durable_version || !has_waiting_task(*target, now)) {
             continue;
         }
         const auto* const queue = config.find_queue(target->spec.queue);
@@ -347,7 +346,7 @@
     for (auto* const suspect : tasks) {
         const auto worker = decisions::choose_isolated_worker(demand_of(*suspect), job,
                                                               used_vms(*suspect), candidates);
-        if (!worker || !pool.isolate(*worker, job)) {
+        if (!worker) {
             break;
         }
         auto& chosen = candidates[*worker];
@@ -355,6 +354,25 @@
         subtract_demand(chosen, suspect->spec());
         ++chosen.tasks_of_step;
     }
+    return isolate_places(std::move(places), tasks, pool);
+}
+
+// Opens the chosen workers to the job only, and returns the places on those that could be. The
+// members of a gang start together or not at all: they get as many workers as they need, or none.
+std::vector<job_scheduler::isolated_place>
+job_scheduler::isolate_places(std::vector<isolated_place> places, const std::vector<task*>& tasks,
+                              pool_candidates& pool)
+{
+    const std::string_view job = tasks.front()->owner->spec.id;
+    const bool gang = tasks.front()->spec().gang;
+    if (gang && places.size() < tasks.size()) {
+        return {};
+    }
+    const auto refused =
+        std::find_if(places.begin(), places.end(), [&](const isolated_place& place) {
+            return !pool.isolate(place.worker, job, gang);
+        });
+    places.erase(refused, places.end());
     return places;
 }
 
@@ -447,7 +465,8 @@
     return true;
 }
 
-// Keeps one worker free on which `demand` fits once enough of its tasks have ended, if there is one.
+// Keeps one worker free on which `demand` fits once enough of its tasks have ended, if there is
+// one.
 void job_scheduler::reserve_worker(const decisions::task_demand& demand, pool_candidates& pool)
 {
     if (const auto worker = decisions::choose_reservation(demand, pool.candidates)) {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -45,6 +45,9 @@
     };
     std::vector<isolated_place> choose_isolated(const std::vector<task*>& tasks,
                                                 const queue_config& queue, pool_candidates& pool);
+    static std::vector<isolated_place> isolate_places(std::vector<isolated_place> places,
+                                                      const std::vector<task*>& tasks,
+                                                      pool_candidates& pool);
     void start_isolated(const std::vector<task*>& tasks, const queue_config& queue,
                         pool_candidates& pool);
     bool is_suspect(const task& target) const;
--- a/src/jobs/pool_candidates.cpp
+++ b/src/jobs/pool_candidates.cpp
@@ -135,12 +135,12 @@
     }
 }
 
-bool pool_candidates::isolate(std::size_t worker, std::string_view job)
+bool pool_candidates::isolate(std::size_t worker, std::string_view job, bool without_limit)
 {
     if (candidates[worker].isolated_job == job) {
         return true;
     }
-    if (isolated_workers_ >= max_closed_workers()) {
+    if (!without_limit && isolated_workers_ >= max_closed_workers()) {
         return false;
     }
     ++isolated_workers_;
--- a/src/jobs/pool_candidates.h
+++ b/src/jobs/pool_candidates.h
@@ -34,11 +34,11 @@
     void add_if_usable(worker_handle& handle);
     // Sets tasks_of_step of each candidate.
     void count_step(const step_progress& step);
-    // Opens the worker to one job only. Returns false if too many are isolated already: suspects
-    // must not keep all other tasks waiting.
-    bool isolate(std::size_t worker, std::string_view job);
-    // Starts no more tasks on the worker in this pass, so that a waiting task fits on it once enough
-    // tasks have ended there. Returns false if too many workers are reserved already.
+    // Opens the worker to one job only. Returns false if too many are isolated already, unless
+    // there is no limit: suspects must not keep all other tasks waiting.
+    bool isolate(std::size_t worker, std::string_view job, bool without_limit);
+    // Starts no more tasks on the worker in this pass, so that a waiting task fits on it once
+    // enough tasks have ended there. Returns false if too many workers are reserved already.
     bool reserve(std::size_t worker);
     // Ids of the workers.
     std::vector<std::string> workers() const;
