--- a/src/jobs/pool_candidates.cpp
+++ b/src/jobs/pool_candidates.cpp
@@ -157,8 +157,10 @@
     auto& reserved = candidates[worker];
     reserved.free_millicores = 0;
     reserved.free_memory_mb = 0;
+    reserved.free_accelerators = 0;
     reserved.releasable_millicores = 0;
     reserved.releasable_memory_mb = 0;
+    reserved.releasable_accelerators = 0;
     return true;
 }
 
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -196,7 +196,7 @@
     // True if a stop with this result has ended the run, and no start can begin it any more.
     bool is_stop_settled(const task_name& name, std::int64_t run, const std::string& worker,
                          order_status status) const;
-    // The latest time at which a start without an answer was sent that has no effect any more.
+    // A start without an answer that was sent before this time has no effect any more.
     net::boot_time oldest_open_start() const;
     void expire_open_starts();
     // True if a start that was sent before the worker restarted may have begun the task on the new
@@ -213,7 +213,6 @@
     // `release` also drops a suspicion against the run, which has ended without a crash.
     void release(task& target);
     void requeue(task& target);
-    void on_lease_expired(worker_handle& handle);
     void release_lost_tasks(worker_handle& handle, const std::set<task*>& lost, loss_cause cause);
     void log_lost_task(const worker_handle& handle, const task& lost, loss_cause cause) const;
     void apply_ends(worker_handle& handle, const hold_report& report);
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -1,7 +1,6 @@
 // Processing of worker reports (running and ended tasks) and of lost workers.
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -86,31 +85,23 @@
 
 void task_runner::on_lost(worker_session& session, loss_cause cause)
 {
-    if (auto* const handle = find_worker(session.info().id)) {
-        if (cause == loss_cause::lease_expired) {
-            on_lease_expired(*handle);
-            return;
-        }
-        if (handle->loaded_from_roster && !session.contacted() &&
-            cause != loss_cause::powered_off) {
-            services_with_unseen_losses_.insert(handle->info().service);
-        }
-        crashes_.tasks_lost(identity_of(*handle), handle->assigned, loss_of(session), cause);
-        release_lost_tasks(*handle, std::set<task*>(handle->assigned), cause);
+    auto* const handle = find_worker(session.info().id);
+    if (handle == nullptr) {
+        return;
     }
-}
-
-void task_runner::on_lease_expired(worker_handle& handle)
-{
-    const auto& session = *handle.session;
-    if (handle.loaded_from_roster && !session.contacted()) {
-        services_with_unseen_losses_.insert(handle.info().service);
+    if (handle->loaded_from_roster && !session.contacted() && cause != loss_cause::powered_off) {
+        services_with_unseen_losses_.insert(handle->info().service);
     }
-    std::set<task*> lost;
-    std::copy_if(handle.assigned.begin(), handle.assigned.end(), std::inserter(lost, lost.end()),
-                 [&](const task* target) { return !may_run_unseen(handle, *target); });
-    crashes_.tasks_lost(identity_of(handle), lost, loss_of(session), loss_cause::lease_expired);
-    release_lost_tasks(handle, lost, loss_cause::lease_expired);
+    auto lost = handle->assigned;
+    if (cause == loss_cause::lease_expired) {
+        for (auto* const target : handle->assigned) {
+            if (may_run_unseen(*handle, *target)) {
+                lost.erase(target);
+            }
+        }
+    }
+    crashes_.tasks_lost(identity_of(*handle), lost, loss_of(session), cause);
+    release_lost_tasks(*handle, lost, cause);
 }
 
 bool task_runner::may_run_unseen(const worker_handle& handle, const task& target) const
