Log the incarnation behind starts, restarts and expired leases

Cause: the log could not tell whether a start was accepted by the former or the new incarnation of a restarted worker, nor which incarnation a new leader assumes when it counts a lease as over. task.started, task.adopted, worker.restarted, worker.lease_expired and jl_worker_restarts_total are new; no logic changes.

--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/job_metrics.cpp
@@ -66,6 +66,11 @@
                    static_cast<double>(tasks));
 }
 
+void job_metrics::record_worker_restart()
+{
+    metrics_.count("jl_worker_restarts_total", "Restarts of workers under their ids", {});
+}
+
 void job_metrics::record_job_given_up(const std::string& queue)
 {
     metrics_.count("jl_jobs_given_up_total", "Jobs given up because a task crashes its workers",
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -27,6 +27,8 @@
     // A worker runs a task, or may begin to, that the leader does not want on it.
     void record_stray_run();
     void record_lost_tasks(std::size_t tasks);
+    // A worker has restarted under its id.
+    void record_worker_restart();
     // A job was given up because a task of it crashes its workers.
     void record_job_given_up(const std::string& queue);
     void record_isolated_start();
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -352,6 +352,7 @@
     }
     switch (result.status) {
     case order_status::accepted:
+        log_accepted_start(*handle, *target, result);
         confirm_running(*target);
         return;
     case order_status::unanswered:
@@ -398,6 +399,21 @@
     release(*target);
 }
 
+// The answer does not name the incarnation of the worker that gave it; its clock, which starts anew
+// with each incarnation, tells afterwards which one it was.
+void task_runner::log_accepted_start(const worker_handle& handle, const task& started,
+                                     const order_result& result) const
+{
+    const auto clock_ms = result.worker_clock ? std::to_string(result.worker_clock->count()) : "";
+    log_event(log_level::info, "task.started",
+              {{"task", started.name().to_string()},
+               {"run", std::to_string(started.run)},
+               {"worker", started.worker},
+               {"known_incarnation", std::to_string(handle.session->started_at_ms())},
+               {"worker_clock_ms", clock_ms},
+               {"attempt", std::to_string(started.order_attempts)}});
+}
+
 void task_runner::confirm_running(task& target)
 {
     auto& owner = *target.owner;
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -162,7 +162,8 @@
     void on_report(worker_session& session, const hold_report& report,
                    net::boot_time requested_at) override;
     void on_unreachable(worker_session& session) override;
-    void on_restarted(worker_session& session, const worker_incarnation& former) override;
+    void on_restarted(worker_session& session, const worker_incarnation& former,
+                      incarnation_source source) override;
     void on_lost(worker_session& session, loss_cause cause) override;
     void on_fenced(worker_session& session) override;
     bool in_use(const worker_session& session) const override;
@@ -178,6 +179,8 @@
     void send_start(const task_name& name, std::int64_t run, const std::string& worker);
     void on_started(const task_name& name, std::int64_t run, const std::string& worker,
                     const order_result& result);
+    void log_accepted_start(const worker_handle& handle, const task& started,
+                            const order_result& result) const;
     // The task's worker has answered or reported that it runs.
     void confirm_running(task& target);
     void retry_start(task& target);
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -53,12 +53,21 @@
     }
 }
 
-void task_runner::on_restarted(worker_session& session, const worker_incarnation& former)
+void task_runner::on_restarted(worker_session& session, const worker_incarnation& former,
+                               incarnation_source source)
 {
     auto* const handle = find_worker(session.info().id);
     if (handle == nullptr) {
         return; // called by the constructor of the session
     }
+    metrics_.record_worker_restart();
+    log_event(log_level::info, "worker.restarted",
+              {{"worker", former.worker},
+               {"former_incarnation", std::to_string(former.started_at_ms)},
+               {"incarnation", std::to_string(session.started_at_ms())},
+               {"source", to_string(source)},
+               {"contacted", session.contacted() ? "true" : "false"},
+               {"tasks", std::to_string(handle->assigned.size())}});
     if (handle->loaded_from_roster && !session.contacted()) {
         services_with_unseen_losses_.insert(handle->info().service);
     }
@@ -94,6 +103,11 @@
     }
     auto lost = handle->assigned;
     if (cause == loss_cause::lease_expired) {
+        log_event(log_level::info, "worker.lease_expired",
+                  {{"worker", session.info().id},
+                   {"known_incarnation", std::to_string(session.started_at_ms())},
+                   {"contacted", session.contacted() ? "true" : "false"},
+                   {"tasks", std::to_string(lost.size())}});
         for (auto* const target : handle->assigned) {
             if (may_run_unseen(*handle, *target)) {
                 lost.erase(target);
@@ -338,6 +352,11 @@
         // takes its time, and the run is reported as running meanwhile.
         target->may_be_stopping_until = now + settings_.stop_time + stop_report_margin;
         handle.assigned.insert(target);
+        log_event(log_level::info, "task.adopted",
+                  {{"task", reported.name},
+                   {"run", std::to_string(reported.run)},
+                   {"worker", worker},
+                   {"incarnation", std::to_string(handle.session->started_at_ms())}});
     }
     if (!is_current_run || target->phase == task_phase::starting) {
         confirm_running(*target);
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -65,6 +65,19 @@
     return "unknown";
 }
 
+const char* to_string(incarnation_source source)
+{
+    switch (source) {
+    case incarnation_source::registration:
+        return "registration";
+    case incarnation_source::report:
+        return "report";
+    case incarnation_source::answer:
+        return "answer";
+    }
+    return "unknown";
+}
+
 worker_session::worker_session(net::timer_service& timers, session_listener& listener,
                                std::unique_ptr<worker_port> port, worker_registration info,
                                std::int64_t token, session_settings settings)
@@ -96,7 +109,8 @@
     info_ = info;
     if (info.started_at_ms > started_at_ms && started_at_ms != 0) {
         const auto alive = alive_;
-        record_result(order_result{order_status::accepted, std::nullopt, info.started_at_ms});
+        record_result(order_result{order_status::accepted, std::nullopt, info.started_at_ms},
+                      incarnation_source::registration);
         if (*alive) {
             request_report(); // carries the fencing token, which the new incarnation does not know
         }
@@ -240,7 +254,7 @@
                   {{"worker", info_.id}, {"failed_calls", std::to_string(failed_holds_)}});
     }
     failed_holds_ = 0;
-    record_result(report.result);
+    record_result(report.result, incarnation_source::report);
     if (!*alive) {
         return;
     }
@@ -278,7 +292,7 @@
            result.started_at_ms < born_;
 }
 
-void worker_session::record_result(const order_result& result)
+void worker_session::record_result(const order_result& result, incarnation_source source)
 {
     if (result.status == order_status::other_worker || of_former_incarnation(result)) {
         return;
@@ -292,7 +306,7 @@
         has_more_ends_ = false;
         count_leases_across_restart();
         const auto alive = alive_;
-        listener_.on_restarted(*this, former);
+        listener_.on_restarted(*this, former, source);
         if (!*alive) {
             return;
         }
@@ -379,7 +393,7 @@
             done(order_result{}); // it says nothing about the present incarnation
             return;
         }
-        record_result(result);
+        record_result(result, incarnation_source::answer);
         if (*alive) {
             done(result);
         }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -37,6 +37,10 @@
 };
 const char* to_string(loss_cause cause);
 
+// What named the incarnation of a worker that has restarted under its id.
+enum class incarnation_source { registration, report, answer };
+const char* to_string(incarnation_source source);
+
 // Receives the events of worker sessions.
 class session_listener {
 public:
@@ -48,7 +52,8 @@
     virtual void on_unreachable(worker_session& session) = 0;
     // The worker has restarted under the same id; `former` has ended. No task that was started
     // before runs any more, but orders without an answer may still reach the new incarnation.
-    virtual void on_restarted(worker_session& session, const worker_incarnation& former) = 0;
+    virtual void on_restarted(worker_session& session, const worker_incarnation& former,
+                              incarnation_source source) = 0;
     // No task that was started on the worker until now runs any more.
     virtual void on_lost(worker_session& session, loss_cause cause) = 0;
     // The worker refused a request because it has seen the fencing token of a newer leader.
@@ -127,7 +132,7 @@
     void send_hold();
     void on_hold(const hold_report& report, net::boot_time requested_at, milliseconds timeout);
     void schedule_hold(std::chrono::nanoseconds delay);
-    void record_result(const order_result& result);
+    void record_result(const order_result& result, incarnation_source source);
     // True if an earlier incarnation of the worker has sent the answer.
     bool of_former_incarnation(const order_result& result) const;
     std::function<void(const order_result&)>
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -102,7 +102,7 @@
         last_reporting_incarnation = report.result.started_at_ms;
     }
     void on_unreachable(worker_session&) override {}
-    void on_restarted(worker_session&, const worker_incarnation&) override {}
+    void on_restarted(worker_session&, const worker_incarnation&, incarnation_source) override {}
     void on_lost(worker_session&, loss_cause) override {}
     void on_fenced(worker_session&) override {}
     bool in_use(const worker_session&) const override { return true; }
