Tests: runs on restarted workers start again beside themselves (known red)

The fake workers named their incarnation in each answer, which the platform does only in registrations and lists of runs. They no longer do, and their latency can be set, so a restart is learned of after a start has been accepted.

--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -20,13 +20,15 @@
 
 const std::string job_id = "00000000000000a1";
 const std::string only_task = job_id + ".0.0.0";
+// Longer than the leader takes to start a task again.
+constexpr auto slow_answers = 20ms;
 
 class restarted_workers : public ::testing::Test {
 protected:
     // Starts a leader. The clocks of the workers are well ahead of that of a new incarnation.
-    void start_leader()
+    void start_leader(milliseconds max_lease = 6000ms)
     {
-        fleet.workers.max_lease = 6000ms;
+        fleet.workers.max_lease = max_lease;
         fleet.workers.default_plan.duration = 9s;
         fleet.renew_registrations(1s);
         fleet.add_node("a");
@@ -41,6 +43,18 @@
         fleet.list_worker(fleet.workers.registration("w0"));
     }
 
+    // Restarts worker w0 and starts the task there before the leader knows of the restart.
+    void submit_to_restarted_worker()
+    {
+        fleet.workers.restart("w0");
+        ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        while (!fleet.workers.is_running(only_task)) {
+            fleet.timers.run_for(1ms);
+        }
+        ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+        fleet.timers.run_for(fleet.workers.latency + 1ms); // the start is answered
+    }
+
     void cut_off_first_worker(milliseconds duration)
     {
         fleet.workers.set_mode("w0", worker_mode::unreachable);
@@ -83,6 +97,130 @@
                          ::testing::Combine(::testing::Values(2000ms, 4000ms, 6000ms, 8000ms),
                                             ::testing::Values(100ms, 700ms, 1500ms)));
 
+// Guards against a run that its leader takes for lost with the former incarnation, although the
+// restarted worker has accepted it and goes on with it.
+TEST_F(restarted_workers, run_of_the_new_incarnation_is_not_lost)
+{
+    start_leader();
+    fleet.workers.latency = slow_answers;
+    fleet.renewals_paused = true;
+    submit_to_restarted_worker();
+    expect_completion_without_violation();
+    EXPECT_EQ(fleet.workers.start_count(only_task), 1);
+}
+
+// Guards against the same where the restart is learned of from the registration.
+TEST_F(restarted_workers, run_of_the_new_incarnation_is_not_lost_by_a_registration)
+{
+    start_leader();
+    fleet.workers.latency = slow_answers;
+    fleet.renewals_paused = true;
+    submit_to_restarted_worker();
+    fleet.list_worker(fleet.workers.registration("w0"));
+    expect_completion_without_violation();
+    EXPECT_EQ(fleet.workers.start_count(only_task), 1);
+}
+
+// Guards against a run of the former incarnation that is kept for one of the new incarnation.
+TEST_F(restarted_workers, run_of_the_former_incarnation_starts_again)
+{
+    start_leader();
+    fleet.renewals_paused = true;
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    while (!fleet.workers.is_running(only_task)) {
+        fleet.timers.run_for(1ms);
+    }
+    fleet.timers.run_for(2ms); // the start is answered, but no report has listed the run yet
+    ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+    fleet.workers.restart("w0");
+    fleet.timers.run_for(500ms);
+    EXPECT_EQ(fleet.workers.start_count(only_task), 2);
+    expect_completion_without_violation();
+}
+
+// Guards against a healthy gang that starts again because one member was taken for lost.
+TEST_F(restarted_workers, gang_on_the_new_incarnation_goes_on)
+{
+    start_leader();
+    fleet.renewals_paused = true;
+    fleet.workers.restart("w0");
+    auto spec = make_job(job_id, 1, 2);
+    spec.steps[0].gang = true;
+    spec.steps[0].max_per_worker = 1;
+    ASSERT_EQ(fleet.submit(spec), submit_outcome::accepted);
+    expect_completion_without_violation();
+    EXPECT_EQ(fleet.workers.start_count(only_task), 1);
+}
+
+// Guards against a healthy task that counts as the cause of a crash that preceded its start.
+TEST_F(restarted_workers, run_of_the_new_incarnation_is_no_crash_evidence)
+{
+    start_leader();
+    fleet.renewals_paused = true;
+    for (const auto* const job : {"00000000000000a1", "00000000000000a2", "00000000000000a3"}) {
+        fleet.workers.restart("w0");
+        fleet.workers.restart("w1");
+        ASSERT_EQ(fleet.submit(make_job(job, 1, 1)), submit_outcome::accepted);
+        fleet.timers.run_for(500ms);
+        ASSERT_EQ(fleet.workers.start_count(std::string(job) + ".0.0.0"), 1) << job;
+    }
+    EXPECT_EQ(fleet.nodes.at("a")->metrics().to_text().find("jl_isolated_starts_total"),
+              std::string::npos);
+    expect_completion_without_violation();
+}
+
+// Guards against a new leader that counts the lease which its predecessor asked for, although an
+// order to the former incarnation has got the longest lease from the restarted worker.
+TEST_F(restarted_workers, new_leader_counts_the_longest_lease)
+{
+    start_leader(10000ms);
+    fleet.workers.default_plan.duration = 20s;
+    fleet.renewals_paused = true;
+    submit_to_restarted_worker();
+    fleet.list_worker(fleet.workers.registration("w0"));
+    fleet.timers.run_for(200ms);
+    fleet.kill("a");
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.add_node("b");
+    fleet.timers.run_for(14s);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    expect_completion_without_violation();
+}
+
+// Guards against the same where neither leader hears of the restart.
+TEST_F(restarted_workers, new_leader_counts_the_longest_lease_after_an_unseen_restart)
+{
+    start_leader(10000ms);
+    fleet.workers.default_plan.duration = 20s;
+    fleet.renewals_paused = true;
+    submit_to_restarted_worker();
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.timers.run_for(2ms);
+    fleet.kill("a");
+    fleet.add_node("b");
+    fleet.timers.run_for(14s);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    expect_completion_without_violation();
+}
+
+// Guards against a leader that counts the lease it asked for, although a restarted worker has taken
+// the start, whose answer is lost, and the leader hears nothing more of the worker.
+TEST_F(restarted_workers, unanswered_start_after_an_unseen_restart_is_counted_in_full)
+{
+    start_leader(10000ms);
+    fleet.workers.default_plan.duration = 20s;
+    fleet.renewals_paused = true;
+    fleet.workers.restart("w0");
+    fleet.workers.set_mode("w0", worker_mode::answer_lost);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    while (!fleet.workers.is_running(only_task)) {
+        fleet.timers.run_for(1ms);
+    }
+    ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+    cut_off_first_worker(14s);
+    expect_completion_without_violation();
+}
+
 // Guards against the same after a prompt start, whose answer is the first sign of the restart.
 TEST_F(restarted_workers, lease_granted_across_a_restart_is_counted_in_full)
 {
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -9,7 +9,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto latency = 1ms;
 // Time until a leader notices that its connection to a worker was reset.
 constexpr auto reset_delay = 20ms;
 // A task under which so many workers have crashed must not be started again.
@@ -82,7 +81,8 @@
         const auto incarnation = found->second.info.started_at_ms;
         if (connected_incarnation_ != 0 && connected_incarnation_ != incarnation) {
             connected_incarnation_ = 0;
-            timers.call_after(latency, unanswered); // the connection belonged to the former process
+            timers.call_after(fleet_.latency,
+                              unanswered); // the connection belonged to the former process
             return;
         }
         if (connected_incarnation_ == 0 && order.last_seen_end > 0) {
@@ -91,9 +91,9 @@
         }
         connected_incarnation_ = incarnation;
         timers.call_after(timeout, unanswered); // no effect if the answer has come before
-        timers.call_after(latency, [&fleet = fleet_, id = worker_, order, done, &timers,
-                                    incarnation, unanswered,
-                                    weak_self = std::weak_ptr<port*>(self_)] {
+        timers.call_after(fleet_.latency, [&fleet = fleet_, id = worker_, order, done, &timers,
+                                           incarnation, unanswered,
+                                           weak_self = std::weak_ptr<port*>(self_)] {
             auto& worker = fleet.state(id);
             if (!worker.up || worker.info.started_at_ms != incarnation) {
                 unanswered(); // its connection was reset
@@ -102,7 +102,7 @@
             if (fleet.fenced(worker, order.fencing_token)) {
                 hold_report report;
                 report.result = make_result(order_status::fenced);
-                timers.call_after(latency, [done, report] { done(report); });
+                timers.call_after(fleet.latency, [done, report] { done(report); });
                 return;
             }
             if (order.lease_until) {
@@ -118,7 +118,7 @@
             }
             const auto answer = [&fleet, id, done, &timers] {
                 const auto report = fleet.make_report(fleet.state(id));
-                timers.call_after(latency, [done, report] { done(report); });
+                timers.call_after(fleet.latency, [done, report] { done(report); });
             };
             const bool has_new =
                 !worker.ended.empty() && worker.ended.back().number > worker.last_acknowledged_end;
@@ -161,12 +161,13 @@
             timers.call_after(timeout, unanswered);
             return;
         case worker_mode::answer_lost:
-            timers.call_after(latency, [action] { action(); });
+            timers.call_after(fleet_.latency, [action] { action(); });
             timers.call_after(timeout, unanswered);
             return;
         default:
-            timers.call_after(latency,
-                              [action, done, &timers, &worker = found->second,
+            timers.call_after(fleet_.latency,
+                              [action, done, latency = fleet_.latency, &timers,
+                               &worker = found->second,
                                incarnation = found->second.info.started_at_ms, unanswered] {
                                   if (!worker.up || worker.info.started_at_ms != incarnation) {
                                       unanswered(); // its connection was reset
@@ -308,7 +309,6 @@
     auto& worker = state(id);
     auto result = make_result(order_status::accepted);
     result.worker_clock = clock_of(worker);
-    result.started_at_ms = worker.info.started_at_ms;
     if (!worker.up) {
         result.status = order_status::not_sent;
         return result;
@@ -415,7 +415,6 @@
     auto& worker = state(id);
     auto result = make_result(order_status::accepted);
     result.worker_clock = clock_of(worker);
-    result.started_at_ms = worker.info.started_at_ms;
     if (fenced(worker, order.fencing_token)) {
         result.status = order_status::fenced;
         return result;
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -35,6 +35,7 @@
 };
 
 // Fake workers in virtual time, with leases, run numbers, fencing tokens and lists of ended tasks.
+// Only registrations and reports name the incarnation of a worker; answers to other orders do not.
 // They also check invariants across all workers, such as that no task runs twice at the same time.
 // Shared by all leaders of a test.
 class fake_workers final : public worker_connector {
@@ -77,6 +78,7 @@
     // Time until a worker in mode `delayed` or `late_orders` executes an order.
     milliseconds late_order_delay{3000};
     milliseconds max_lease{10000};
+    milliseconds latency{1};     // of an order, and of its answer
     milliseconds stop_time{200}; // between a stop order and the end of the run
     milliseconds startup{0};     // of each run, at 0 percent
     std::size_t ends_per_report = 500;
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -88,6 +88,7 @@
     engine* ready_engine();
     leadership& election() { return *election_; }
     fake_store::port& store() { return store_; }
+    const job_metrics& metrics() const { return metrics_; }
 
 private:
     fake_store::port& store_;
