A restarted worker's own report tells which runs are lost

Cause: the answer to a start does not name the incarnation that gave it. On the news of a restart every accepted run was released as one of the former incarnation, although the new one may have accepted it before the leader knew of it. Now only runs that the former incarnation has reported are lost with it. The others stay with their worker until the new incarnation's report lists them, or does not, or the lease ends. Evidence of crashes is settled by the same report.

--- a/src/jobs/crash_ledger.cpp
+++ b/src/jobs/crash_ledger.cpp
@@ -58,6 +58,12 @@
     return observation.worker == worker && !observation.confirmed;
 }
 
+// True if it is not known yet which incarnation of the worker the task is or was on.
+bool awaits_report(const task& target, const std::string& worker)
+{
+    return target.awaits_report && target.worker == worker;
+}
+
 bool has_unconfirmed(const task& target, const std::string& worker)
 {
     return std::any_of(target.crashes.begin(), target.crashes.end(), [&](const auto& observation) {
@@ -175,9 +181,11 @@
     if (cause == loss_cause::lease_expired) {
         return; // the worker may answer again
     }
-    settle(worker.life.worker, !planned, [&](const task&, const crash_observation& observation) {
-        return observation.worker_started_at_ms <= worker.life.started_at_ms;
-    });
+    settle(worker.life.worker, !planned,
+           [&](const task& target, const crash_observation& observation) {
+               return observation.worker_started_at_ms <= worker.life.started_at_ms &&
+                      (planned || !awaits_report(target, worker.life.worker));
+           });
 }
 
 void crash_ledger::worker_alive(const worker_incarnation& life)
@@ -185,10 +193,14 @@
     if (unconfirmed_.empty()) {
         return;
     }
-    settle(life.worker, true, [&](const task&, const crash_observation& observation) {
-        return observation.worker_started_at_ms < life.started_at_ms;
+    settle(life.worker, true, [&](const task& target, const crash_observation& observation) {
+        return observation.worker_started_at_ms < life.started_at_ms &&
+               !awaits_report(target, life.worker);
     });
     settle(life.worker, false, [&](const task& target, const crash_observation&) {
+        if (awaits_report(target, life.worker)) {
+            return false;
+        }
         const bool on_trial =
             target.on_worker() && target.worker == life.worker &&
             (!target.start_sent || timers_.now() < target.start_sent_at + decisions::crash_window);
@@ -243,6 +255,12 @@
            [&](const task& other, const crash_observation&) { return &other == &target; });
 }
 
+void crash_ledger::run_lost(task& target, const std::string& worker)
+{
+    settle(worker, true,
+           [&](const task& other, const crash_observation&) { return &other == &target; });
+}
+
 void crash_ledger::settle(const std::string& worker, bool crashed, const selector& concerns)
 {
     const auto found = unconfirmed_.find(worker);
--- a/src/jobs/crash_ledger.h
+++ b/src/jobs/crash_ledger.h
@@ -53,6 +53,8 @@
     void begin_start(task& target, const worker_identity& worker, decisions::crash_link link);
     // The task's run on the worker has ended without the loss of the worker.
     void run_ended(task& target, const std::string& worker);
+    // The task's run has ended with the incarnation of the worker that it was on.
+    void run_lost(task& target, const std::string& worker);
 
     decisions::crash_verdict verdict(const task& target) const;
 
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -260,6 +260,7 @@
     target.order_confirmed_at = order_unconfirmed;
     target.order_attempts = 0;
     target.start_sent = false;
+    target.reported_by_ms = 0;
     target.isolation = task_isolation::none;
     if (options.isolated) {
         isolate(target, handle);
@@ -673,6 +674,7 @@
         handle->assigned.erase(&target);
     }
     target.worker.clear();
+    target.awaits_report = false;
 }
 
 void task_runner::release(task& target)
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -202,6 +202,8 @@
     // A start without an answer that was sent before this time has no effect any more.
     net::boot_time oldest_open_start() const;
     void expire_open_starts();
+    // True if only the report of its restarted worker tells whether the task runs there.
+    bool may_have_started_on_new_incarnation(const task& target) const;
     // True if a start that was sent before the worker restarted may have begun the task on the new
     // incarnation, or may still do so. The leader doesn't know how long its lease is there.
     bool may_run_unseen(const worker_handle& handle, const task& target) const;
@@ -217,6 +219,8 @@
     void release(task& target);
     void requeue(task& target);
     void release_lost_tasks(worker_handle& handle, const std::set<task*>& lost, loss_cause cause);
+    void requeue_lost_tasks(const worker_handle& handle, const std::set<task*>& lost,
+                            loss_cause cause);
     void log_lost_task(const worker_handle& handle, const task& lost, loss_cause cause) const;
     void apply_ends(worker_handle& handle, const hold_report& report);
     void acknowledge_durable(worker_handle& handle);
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -72,26 +72,38 @@
         services_with_unseen_losses_.insert(handle->info().service);
     }
     handle->restarted_at = timers_.now();
+    std::set<task*> lost;
+    for (auto* const target : handle->assigned) {
+        target->awaits_report = may_have_started_on_new_incarnation(*target);
+        if (!target->awaits_report) {
+            lost.insert(target);
+        }
+    }
     auto ended = identity_of(*handle);
     ended.life = former;
     crashes_.tasks_lost(ended, handle->assigned, loss_of(session), loss_cause::restarted);
     // The new incarnation may execute a start without an answer, now or later. A stop order makes
     // it reject that start.
-    std::set<task*> lost;
     for (auto* const target : std::set<task*>(handle->assigned)) {
         if (target->phase == task_phase::starting || start_is_open(*target) ||
             started_by_former_leader(*target)) {
             stop_on_new_incarnation(*target);
         }
-        else if (target->phase != task_phase::stopping ||
-                 target->order_confirmed_at != order_unconfirmed) {
-            lost.insert(target);
-        }
     }
     release_lost_tasks(*handle, lost, loss_cause::restarted);
     stop_open_starts(*handle);
 }
 
+// The former incarnation has certainly ended what it has reported. All other starts may have
+// reached the new one, which the leader did not know of when it got their answers.
+bool task_runner::may_have_started_on_new_incarnation(const task& target) const
+{
+    const bool stop_unconfirmed =
+        target.phase == task_phase::stopping && target.order_confirmed_at == order_unconfirmed;
+    return target.reported_by_ms == 0 || stop_unconfirmed || start_is_open(target) ||
+           started_by_former_leader(target);
+}
+
 void task_runner::on_lost(worker_session& session, loss_cause cause)
 {
     auto* const handle = find_worker(session.info().id);
@@ -114,6 +126,13 @@
             }
         }
     }
+    for (auto* const target : lost) {
+        if (target->awaits_report && cause == loss_cause::lease_expired) {
+            // It may have run on the new incarnation, so the end of the former one proves nothing.
+            crashes_.run_ended(*target, session.info().id);
+        }
+        target->awaits_report = false;
+    }
     crashes_.tasks_lost(identity_of(*handle), lost, loss_of(session), cause);
     release_lost_tasks(*handle, lost, cause);
 }
@@ -157,20 +176,29 @@
         // A worker that is only unreachable keeps its ends until they are acknowledged.
         handle.unacknowledged_ends.clear();
     }
-    handle.strays.clear();
-    if (!lost.empty()) {
-        metrics_.record_lost_tasks(lost.size());
-        log_event(log_level::warning, "worker.tasks_lost",
-                  {{"worker", handle.info().id},
-                   {"vm", handle.info().vm},
-                   {"tasks", std::to_string(lost.size())},
-                   {"cause", to_string(cause)}});
+    if (cause != loss_cause::restarted) {
+        handle.strays.clear(); // those of a restarted worker may run on its new incarnation
     }
+    requeue_lost_tasks(handle, lost, cause);
+    listener_.on_workers_changed();
+}
+
+void task_runner::requeue_lost_tasks(const worker_handle& handle, const std::set<task*>& lost,
+                                     loss_cause cause)
+{
+    if (lost.empty()) {
+        return;
+    }
+    metrics_.record_lost_tasks(lost.size());
+    log_event(log_level::warning, "worker.tasks_lost",
+              {{"worker", handle.info().id},
+               {"vm", handle.info().vm},
+               {"tasks", std::to_string(lost.size())},
+               {"cause", to_string(cause)}});
     for (auto* const target : lost) {
         log_lost_task(handle, *target, cause);
         requeue(*target);
     }
-    listener_.on_workers_changed();
 }
 
 void task_runner::log_lost_task(const worker_handle& handle, const task& lost,
@@ -198,6 +226,10 @@
     apply_running_tasks(*handle, report);
     forget_ended_strays(*handle, report, requested_at);
     release_vanished_tasks(*handle, report, requested_at);
+    if (std::any_of(handle->assigned.begin(), handle->assigned.end(),
+                    [](const task* target) { return target->awaits_report; })) {
+        session.request_report(); // this one was requested before the start was answered
+    }
     listener_.on_worker_report(*handle);
     if (!report.ended.empty() || handle->loaded_from_roster) {
         listener_.on_workers_changed();
@@ -364,6 +396,11 @@
     if (!reported.checkpoint.empty()) {
         target->checkpoint = reported.checkpoint;
     }
+    if (target->awaits_report) {
+        target->awaits_report = false;
+        crashes_.run_ended(*target, worker); // it was not on the incarnation that has ended
+    }
+    target->reported_by_ms = handle.session->started_at_ms();
     if (target->percent != reported.percent) {
         target->percent = reported.percent;
         target->changed_at = now;
@@ -399,11 +436,18 @@
             vanished_tasks.push_back(target);
         }
     }
+    std::set<task*> lost;
     for (auto* const target : vanished_tasks) {
+        if (target->awaits_report) {
+            lost.insert(target);
+            crashes_.run_lost(*target, handle.info().id);
+            continue;
+        }
         log_event(log_level::warning, "task.vanished",
                   {{"task", target->name().to_string()}, {"worker", handle.info().id}});
         release(*target);
     }
+    requeue_lost_tasks(handle, lost, loss_cause::restarted);
 }
 
 void task_runner::record_failure(worker_handle& handle)
