The roster tells the next leader of a lease that may be the longest

The leader that sees the restart counts that; the next leader counted the usual lease, since it reads the present incarnation only. Now the entry of a restarted worker says so until that lease is over, and no further task is started on the worker before the entry is durable.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -30,6 +30,7 @@
     result.session.may_act = std::move(may_act);
     result.session.max_lease = settings.max_lease;
     result.session.lease = std::min(settings.max_lease, milliseconds(lease_limit));
+    result.session.previous_leader_time = settings.leader_ttl;
     result.session.previous_leader_lease = result.session.lease + settings.leader_ttl;
     result.stop_time = settings.stop_time;
     result.term = leader.term;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,7 @@
     void on_crash_evidence(task& suspect) override;
     void on_worker_report(worker_handle& handle) override;
     void on_workers_changed() override;
+    void on_worker_restarted(worker_handle& handle) override;
     void fenced(const std::string& worker) override;
 
     void load_records();
@@ -98,6 +100,10 @@
     void on_operator_item(const store_item& item);
     void adopt_config(fleet_config config);
     void on_worker_item(const store_item& item);
+    // Adds the worker to the roster, or updates its entry.
+    void record_worker(const worker_handle& handle);
+    // Records that the longest lease of workers that have restarted is over.
+    void record_ended_leases();
 
     std::optional<record_writer::record> encode_record(const std::string& key);
     void on_record_durable(const std::string& key, std::int64_t version);
@@ -147,6 +153,7 @@
     std::optional<fleet_config> config_;
     std::unique_ptr<record_writer> writer_;
     worker_roster roster_;
+    std::set<std::string> workers_with_longest_lease_; // by their entry in the roster
     std::unique_ptr<task_runner> runner_;
     std::unique_ptr<advice_book> advice_book_;
     vm_reservations reservations_;
--- a/src/jobs/engine_periodic.cpp
+++ b/src/jobs/engine_periodic.cpp
@@ -120,6 +120,7 @@
         return;
     }
     retire_finished_jobs();
+    record_ended_leases();
     ports_.metrics->set_active_jobs(jobs_.active().size(), runner_->worker_handles().size());
     if (ready()) {
         relocate_long_running_tasks();
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -123,7 +123,41 @@
         info.vm = entry.vm;
         info.started_at_ms = entry.started_at_ms;
         runner_->worker_registered(info, registration_source::roster);
-        runner_->find_worker(entry.worker)->roster_entry_durable = true;
+        auto& handle = *runner_->find_worker(entry.worker);
+        handle.roster_entry_durable = true;
+        if (entry.longest_lease) {
+            handle.session->expect_longest_lease();
+            workers_with_longest_lease_.insert(entry.worker);
+        }
+    }
+}
+
+void engine::record_worker(const worker_handle& handle)
+{
+    const auto& info = handle.info();
+    roster_.set({info.id, info.service, info.address, info.vm, handle.session->started_at_ms(),
+                 handle.session->may_have_longest_lease()});
+}
+
+void engine::on_worker_restarted(worker_handle& handle)
+{
+    record_worker(handle);
+    workers_with_longest_lease_.insert(handle.info().id);
+}
+
+void engine::record_ended_leases()
+{
+    for (auto next = workers_with_longest_lease_.begin();
+         next != workers_with_longest_lease_.end();) {
+        const auto* const handle = runner_->find_worker(*next);
+        if (handle != nullptr && handle->session->may_have_longest_lease()) {
+            ++next;
+            continue;
+        }
+        if (handle != nullptr) {
+            record_worker(*handle);
+        }
+        next = workers_with_longest_lease_.erase(next);
     }
 }
 
@@ -197,7 +231,7 @@
     const auto source =
         registrations_listed_ ? registration_source::renewal : registration_source::listing;
     if (runner_->worker_registered(*info, source)) {
-        roster_.set({info->id, info->service, info->address, info->vm, info->started_at_ms});
+        record_worker(*runner_->find_worker(info->id));
     }
 }
 
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -24,11 +24,14 @@
     endpoint address;
     std::string vm;                 // empty: not known
     std::int64_t started_at_ms = 0; // 0: not known
+    // An order to a former incarnation may have granted the present one the longest lease.
+    bool longest_lease = false;
 
     bool operator==(const roster_entry& other) const
     {
         return worker == other.worker && service == other.service && address == other.address &&
-               vm == other.vm && started_at_ms == other.started_at_ms;
+               vm == other.vm && started_at_ms == other.started_at_ms &&
+               longest_lease == other.longest_lease;
     }
 };
 std::string encode_roster(const std::vector<roster_entry>& roster);
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -37,6 +37,8 @@
     // The worker reported which tasks run on it.
     virtual void on_worker_report(worker_handle& handle) = 0;
     virtual void on_workers_changed() = 0;
+    // The worker has restarted under its id. No task is started on it before that is recorded.
+    virtual void on_worker_restarted(worker_handle& handle) = 0;
     // The worker refused an order because it has seen the fencing token of a newer leader.
     virtual void fenced(const std::string& worker) = 0;
 };
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -72,6 +72,8 @@
         services_with_unseen_losses_.insert(handle->info().service);
     }
     handle->restarted_at = timers_.now();
+    handle->roster_entry_durable = false;
+    listener_.on_worker_restarted(*handle);
     std::set<task*> lost;
     for (auto* const target : handle->assigned) {
         target->awaits_report = may_have_started_on_new_incarnation(*target);
--- a/src/jobs/worker_roster_test.cpp
+++ b/src/jobs/worker_roster_test.cpp
@@ -57,6 +57,19 @@
     EXPECT_EQ(roster.on_durable(key, roster.encode(key).version).size(), 1U);
 }
 
+// Guards against a next leader that does not hear of a lease which may be longer than usual.
+TEST_F(worker_roster_test, next_leader_learns_of_a_longest_lease)
+{
+    auto restarted = entry(1);
+    restarted.longest_lease = true;
+    roster.set(restarted);
+    const auto key = *changed_keys.begin();
+    worker_roster next{[](const std::string&) {}};
+    const auto loaded = next.load({key, roster.encode(key).value, 1, 0});
+    ASSERT_EQ(loaded.size(), 1U);
+    EXPECT_TRUE(loaded[0].longest_lease);
+}
+
 TEST_F(worker_roster_test, next_leader_loads_all_entries)
 {
     for (int number = 0; number < 100; ++number) {
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -164,6 +164,18 @@
     check_lease_expiry();
 }
 
+void worker_session::expect_longest_lease()
+{
+    raise_longest_lease_bound(timers_.now() + settings_.previous_leader_time);
+}
+
+void worker_session::raise_longest_lease_bound(net::boot_time last_order)
+{
+    const auto bound = last_order + on_local_clock(settings_.max_lease) + expiry_margin;
+    longest_lease_bound_ = std::max(longest_lease_bound_, bound);
+    raise_lease_bound(bound);
+}
+
 // A lease ends at a time on the worker's clock, which starts anew with each incarnation, so an
 // order to the former one grants the longest lease. Orders of previous leaders are refused once the
 // worker has answered this one.
@@ -173,7 +185,7 @@
         !contacted_ && settings_.previous_leader_lease > 0ms;
     const auto last_order =
         has_late_orders_of_previous_leader ? timers_.now() + late_execution_limit : timers_.now();
-    raise_lease_bound(last_order + on_local_clock(settings_.max_lease) + expiry_margin);
+    raise_longest_lease_bound(last_order);
 }
 
 void worker_session::send_hold()
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -16,7 +16,8 @@
 namespace jl::jobs {
 
 struct session_settings {
-    milliseconds lease{6000}; // requested with each order; at most the worker's limit
+    milliseconds lease{6000};             // requested with each order; at most the worker's limit
+    milliseconds previous_leader_time{0}; // for which a previous leader may still send orders
     // Upper bound on the time for which tasks of a previous leader may still run: the rest of its
     // leadership plus the last lease that it granted to a worker.
     milliseconds previous_leader_lease{0};
@@ -110,6 +111,10 @@
     bool resolved() const;
     // Upper bound on the time at which the lease of all tasks on the worker ends.
     net::boot_time lease_bound() const { return lease_bound_; }
+    // True while an order to a former incarnation may have granted the longest lease.
+    bool may_have_longest_lease() const { return timers_.now() < longest_lease_bound_; }
+    // A previous leader has found may_have_longest_lease() to be true.
+    void expect_longest_lease();
 
     // Tells the worker, with the next hold, not to report ends up to `number` again. Called in
     // ascending order.
@@ -145,6 +150,7 @@
     void record_broken_connection(net::boot_time sent_at, milliseconds timeout);
     void check_lease_expiry();
     void raise_lease_bound(net::boot_time bound);
+    void raise_longest_lease_bound(net::boot_time last_order);
     // The worker has restarted; an order to its former incarnation may reach the present one.
     void count_leases_across_restart();
     // Extends `lease_bound_` by the next lease and returns that lease's end on the worker's clock.
@@ -167,6 +173,7 @@
     std::optional<milliseconds> worker_clock_; // the worker's clock at `worker_clock_read_at_`
     net::boot_time worker_clock_read_at_{};
     net::boot_time lease_bound_;
+    net::boot_time longest_lease_bound_{};
     bool expiry_reported_ = false;
     bool contacted_ = false;
     bool has_more_ends_ = false; // the last report did not list all ends
