A run that no report has listed may have the longest lease

What callers would see: one task runs twice at the same time (TWICE), where a restarted worker takes a start and is cut off before its leader hears of the restart. Now the lease of a run that no report has listed is counted from the last order as the longest; other tasks are released as before. restarted_workers.lease_granted_across_a_restart_is_counted_in_full and unanswered_start_after_an_unseen_restart_* failed before. Tried and dropped: a short first hold, so that reports come sooner; it makes a worker that loses answers seem unreachable sooner.

--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -206,8 +206,9 @@
     void expire_open_starts();
     // True if only the report of its restarted worker tells whether the task runs there.
     bool may_have_started_on_new_incarnation(const task& target) const;
-    // True if a start that was sent before the worker restarted may have begun the task on the new
-    // incarnation, or may still do so. The leader doesn't know how long its lease is there.
+    // True if the task may run on an incarnation of the worker that the leader has not heard of, or
+    // if a start that was sent before the worker restarted may have begun it on the new one, or may
+    // still do so. The leader doesn't know how long its lease is there.
     bool may_run_unseen(const worker_handle& handle, const task& target) const;
     // Releases the tasks that were kept because of may_run_unseen() when the lease expired.
     void release_tasks_kept_after_lease();
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -141,6 +141,10 @@
 
 bool task_runner::may_run_unseen(const worker_handle& handle, const task& target) const
 {
+    if (target.start_sent && target.reported_by_ms == 0 &&
+        timers_.now() < handle.session->lease_bound_after_unseen_restart()) {
+        return true;
+    }
     const bool stop_unconfirmed =
         target.phase == task_phase::stopping && target.order_confirmed_at == order_unconfirmed;
     if (!stop_unconfirmed || target.start_sent_at >= handle.restarted_at) {
@@ -154,14 +158,16 @@
 {
     const auto now = timers_.now();
     for (auto& [worker, handle] : worker_handles_) {
-        if (handle.assigned.empty() || handle.restarted_at == net::boot_time{} ||
-            handle.session->lease_bound() > now) {
+        if (handle.assigned.empty() || handle.session->lease_bound() > now) {
             continue;
         }
         std::set<task*> kept;
         for (auto* const target : handle.assigned) {
-            if (target->phase == task_phase::stopping &&
-                target->start_sent_at < handle.restarted_at && !may_run_unseen(handle, *target)) {
+            const bool stopped_after_restart = target->phase == task_phase::stopping &&
+                                               target->start_sent_at < handle.restarted_at;
+            // The report of a worker that is reachable again tells whether the task still runs.
+            const bool was_kept = stopped_after_restart || !handle.session->reachable();
+            if (target->start_sent && was_kept && !may_run_unseen(handle, *target)) {
                 kept.insert(target);
             }
         }
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -16,7 +16,9 @@
 constexpr auto max_hold_wait = 1000ms;
 constexpr decisions::long_poll::limits hold_wait{max_hold_wait, 100ms, 40ms};
 // Limits of the wait for an answer, beyond the wait that a hold asks for.
-constexpr decisions::retransmission_timer::limits answer_wait{700ms, 100ms, 700ms};
+constexpr auto max_answer_wait = 700ms;
+constexpr decisions::retransmission_timer::limits answer_wait{max_answer_wait, 100ms,
+                                                              max_answer_wait};
 // Delay of the hold after one without an answer. The first repetition follows at once, because a
 // single lost answer is no sign that the worker is gone.
 constexpr auto first_retry_delay = 10ms;
@@ -152,6 +154,7 @@
     const auto elapsed =
         std::chrono::duration_cast<milliseconds>(timers_.now() - worker_clock_read_at_);
     const auto until = *worker_clock_ + elapsed + settings_.lease;
+    lease_order_sent_at_ = timers_.now();
     raise_lease_bound(worker_clock_read_at_ + on_local_clock(until - *worker_clock_) +
                       expiry_margin);
     return until;
@@ -176,6 +179,12 @@
     raise_lease_bound(bound);
 }
 
+net::boot_time worker_session::lease_bound_after_unseen_restart() const
+{
+    return lease_order_sent_at_ + max_answer_wait + on_local_clock(settings_.max_lease) +
+           expiry_margin;
+}
+
 // A lease ends at a time on the worker's clock, which starts anew with each incarnation, so an
 // order to the former one grants the longest lease. Orders of previous leaders are refused once the
 // worker has answered this one.
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -111,6 +111,9 @@
     bool resolved() const;
     // Upper bound on the time at which the lease of all tasks on the worker ends.
     net::boot_time lease_bound() const { return lease_bound_; }
+    // The same for tasks on an incarnation that the leader has not heard of, which may have taken
+    // an order to the known one.
+    net::boot_time lease_bound_after_unseen_restart() const;
     // True while an order to a former incarnation may have granted the longest lease.
     bool may_have_longest_lease() const { return timers_.now() < longest_lease_bound_; }
     // A previous leader has found may_have_longest_lease() to be true.
@@ -174,6 +177,7 @@
     net::boot_time worker_clock_read_at_{};
     net::boot_time lease_bound_;
     net::boot_time longest_lease_bound_{};
+    net::boot_time lease_order_sent_at_{}; // the last order that extends the lease
     bool expiry_reported_ = false;
     bool contacted_ = false;
     bool has_more_ends_ = false; // the last report did not list all ends
