A worker's clock that has started anew tells of its restart

What callers would see: one task runs twice at the same time (TWICE), where a worker restarts, accepts a start and is cut off, and the leader is lost before the registration or a report has named the new incarnation. Cause: the next leader learns of the longest lease only if the former one has recorded it, and that one waited for the incarnation's name. An answer to a start does not name it, but its clock is off the course of the former incarnation's (seen in all traces: each incarnation's clock starts at another value). Now such a clock lets the leader count and record the longest lease and ask for a report at once; which runs are lost is still told by the report alone.

--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -187,6 +187,22 @@
     expect_completion_without_violation();
 }
 
+// Guards against the same where only the worker's clock tells of the restart.
+TEST_F(restarted_workers, new_leader_counts_the_longest_lease_after_a_new_clock)
+{
+    start_leader(10000ms);
+    fleet.workers.default_plan.duration = 20s;
+    fleet.renewals_paused = true;
+    submit_to_restarted_worker();
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.timers.run_for(100ms);
+    fleet.kill("a");
+    fleet.add_node("b");
+    fleet.timers.run_for(14s);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    expect_completion_without_violation();
+}
+
 // Guards against the same where neither leader hears of the restart.
 TEST_F(restarted_workers, new_leader_counts_the_longest_lease_after_an_unseen_restart)
 {
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -37,7 +37,8 @@
     // The worker reported which tasks run on it.
     virtual void on_worker_report(worker_handle& handle) = 0;
     virtual void on_workers_changed() = 0;
-    // The worker has restarted under its id. No task is started on it before that is recorded.
+    // The worker has restarted under its id, as it or its clock tells. No task is started on it
+    // before that is recorded.
     virtual void on_worker_restarted(worker_handle& handle) = 0;
     // The worker refused an order because it has seen the fencing token of a newer leader.
     virtual void fenced(const std::string& worker) = 0;
@@ -166,6 +167,7 @@
     void on_unreachable(worker_session& session) override;
     void on_restarted(worker_session& session, const worker_incarnation& former,
                       incarnation_source source) override;
+    void on_new_clock(worker_session& session) override;
     void on_lost(worker_session& session, loss_cause cause) override;
     void on_fenced(worker_session& session) override;
     bool in_use(const worker_session& session) const override;
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -96,6 +96,19 @@
     stop_open_starts(*handle);
 }
 
+void task_runner::on_new_clock(worker_session& session)
+{
+    auto* const handle = find_worker(session.info().id);
+    if (handle == nullptr) {
+        return;
+    }
+    log_event(log_level::info, "worker.new_clock",
+              {{"worker", session.info().id},
+               {"known_incarnation", std::to_string(session.started_at_ms())}});
+    handle->roster_entry_durable = false;
+    listener_.on_worker_restarted(*handle);
+}
+
 // The former incarnation has certainly ended what it has reported. All other starts may have
 // reached the new one, which the leader did not know of when it got their answers.
 bool task_runner::may_have_started_on_new_incarnation(const task& target) const
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -25,6 +25,9 @@
 constexpr auto retry_delay = 250ms;
 // Delay of the hold after a reported end, so that one report collects ends in quick succession.
 constexpr auto hold_interval = 25ms;
+// Two readings of a worker's clock may differ by this much from the time between their arrivals, as
+// answers take their time. A larger difference is the clock of another incarnation.
+constexpr auto max_clock_delay = 1500ms;
 // Rate of the slowest worker clock, relative to this process's clock.
 constexpr double slowest_clock_rate = 0.98;
 // A hold that fails between this time and its timeout was waiting on the worker, whose connection
@@ -340,12 +343,34 @@
         last_alive_ = timers_.now();
         ended_by_.reset();
     }
+    if (is_new_clock(result)) {
+        worker_clock_.reset();
+        raise_longest_lease_bound(timers_.now());
+        request_report();
+        const auto alive = alive_;
+        listener_.on_new_clock(*this);
+        if (!*alive) {
+            return;
+        }
+    }
     if (result.worker_clock && (!worker_clock_ || timers_.now() > worker_clock_read_at_)) {
         worker_clock_ = result.worker_clock;
         worker_clock_read_at_ = timers_.now();
     }
 }
 
+bool worker_session::is_new_clock(const order_result& result) const
+{
+    if (!result.worker_clock || !worker_clock_ || result.started_at_ms != 0) {
+        return false;
+    }
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(timers_.now() - worker_clock_read_at_);
+    const auto least = std::chrono::duration_cast<milliseconds>(elapsed * slowest_clock_rate);
+    const auto advance = *result.worker_clock - *worker_clock_;
+    return advance < least - max_clock_delay || advance > elapsed + max_clock_delay;
+}
+
 void worker_session::record_failure(const char* reason, bool connection_lost_during_wait)
 {
     if (failed_holds_++ == 0) {
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -55,6 +55,9 @@
     // before runs any more, but orders without an answer may still reach the new incarnation.
     virtual void on_restarted(worker_session& session, const worker_incarnation& former,
                               incarnation_source source) = 0;
+    // An answer without an incarnation has a clock that has started anew, so the worker has
+    // restarted and may have the longest lease. Its next report tells more.
+    virtual void on_new_clock(worker_session& session) = 0;
     // No task that was started on the worker until now runs any more.
     virtual void on_lost(worker_session& session, loss_cause cause) = 0;
     // The worker refused a request because it has seen the fencing token of a newer leader.
@@ -148,6 +151,8 @@
     // Adds the outcome of a call that the worker answers at once.
     void record_round_trip(const order_result& result, net::boot_time sent_at);
     void record_loss(const order_result& result);
+    // Compares the clock in an answer that does not name its incarnation with the known one.
+    bool is_new_clock(const order_result& result) const;
     void record_failure(const char* reason, bool connection_lost_during_wait);
     // Notes a call without an answer that failed before its timeout.
     void record_broken_connection(net::boot_time sent_at, milliseconds timeout);
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -103,6 +103,7 @@
     }
     void on_unreachable(worker_session&) override {}
     void on_restarted(worker_session&, const worker_incarnation&, incarnation_source) override {}
+    void on_new_clock(worker_session&) override {}
     void on_lost(worker_session&, loss_cause) override {}
     void on_fenced(worker_session&) override {}
     bool in_use(const worker_session&) const override { return true; }
