--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -520,7 +520,6 @@
 TEST(engine, late_end_of_a_gang_stops_all_members_of_its_present_run)
 {
     test_fleet fleet{1};
-    fleet.workers.max_lease = 6000ms; // which must be over before the gang starts again
     fleet.workers.default_plan.duration = 2s;
     fleet.add_node("a");
     ASSERT_TRUE(fleet.await_leader());
--- a/src/jobs/reservations_test.cpp
+++ b/src/jobs/reservations_test.cpp
@@ -112,7 +112,6 @@
 TEST(reservations, gang_without_room_keeps_no_worker_free)
 {
     test_fleet fleet(4);
-    fleet.workers.max_lease = 6000ms; // which must be over before the others have room
     fleet.workers.plans_by_job[waiting_job].duration = 20s;
     fleet.workers.plans_by_job[present_job].duration = 1h;
     fleet.renew_registrations(1s);
