Strays that a former incarnation has stopped are stopped again on the next one

What callers would see: a late start runs beside the task's successor (TWICE) where a worker restarts twice within a round trip. Cause: since strays survive a restart, the confirmation of the former incarnation counted for the next one (found by the review).

--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -216,6 +216,7 @@
     void release_tasks_kept_after_lease();
     void on_stray_stopped(const task_name& name, std::int64_t run, const std::string& worker,
                           const order_result& result);
+    static void forget_stopped_strays(worker_handle& handle);
     static void forget_ended_strays(worker_handle& handle, const hold_report& report,
                                     net::boot_time requested_at);
     // Returns the task if `run` is its current run and is on `worker`, otherwise null.
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -93,9 +93,20 @@
         }
     }
     release_lost_tasks(*handle, lost, loss_cause::restarted);
+    forget_stopped_strays(*handle);
     stop_open_starts(*handle);
 }
 
+// The stops were confirmed by a former incarnation. An open start may still begin such a run on the
+// new one, and is stopped there again.
+void task_runner::forget_stopped_strays(worker_handle& handle)
+{
+    for (auto next = handle.strays.begin(); next != handle.strays.end();) {
+        const bool stopped = next->second.stop_confirmed_at != order_unconfirmed;
+        next = stopped ? handle.strays.erase(next) : std::next(next);
+    }
+}
+
 void task_runner::on_new_clock(worker_session& session)
 {
     auto* const handle = find_worker(session.info().id);
