No holds without a pause while a stop on a new incarnation is unanswered

A report is requested early only once the last order was answered. unseen_restarts.holds_wait_while_a_stop_is_unanswered guards it.

--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -260,9 +260,10 @@
     apply_running_tasks(*handle, report);
     forget_ended_strays(*handle, report, requested_at);
     release_vanished_tasks(*handle, report, requested_at);
-    if (std::any_of(handle->assigned.begin(), handle->assigned.end(),
-                    [](const task* target) { return target->awaits_report; })) {
-        session.request_report(); // this one was requested before the start was answered
+    if (std::any_of(handle->assigned.begin(), handle->assigned.end(), [](const task* target) {
+            return target->awaits_report && target->order_confirmed_at != order_unconfirmed;
+        })) {
+        session.request_report(); // this one was requested before the last order was answered
     }
     listener_.on_worker_report(*handle);
     if (!report.ended.empty() || handle->loaded_from_roster) {
