A run that the new incarnation reports is no evidence of a crash, whoever gave it up

What callers would see: a healthy job is shown as failed (LOST): its runs lapse on workers that have restarted unseen and are cut off, and each such restart was counted as a crash under the task; by the next leader too, which isolated the task. Cause: observations of the former incarnation were confirmed on the news of the restart, before the report of the new one was read.

--- a/src/jobs/crash_ledger.cpp
+++ b/src/jobs/crash_ledger.cpp
@@ -183,7 +183,10 @@
     }
     settle(worker.life.worker, !planned,
            [&](const task& target, const crash_observation& observation) {
-               return observation.worker_started_at_ms <= worker.life.started_at_ms &&
+               // The next report tells of runs that were given up before.
+               const bool given_up =
+                   cause == loss_cause::restarted && target.worker != worker.life.worker;
+               return !given_up && observation.worker_started_at_ms <= worker.life.started_at_ms &&
                       (planned || !awaits_report(target, worker.life.worker));
            });
 }
@@ -255,6 +258,16 @@
            [&](const task& other, const crash_observation&) { return &other == &target; });
 }
 
+void crash_ledger::run_reported(task& target, const worker_incarnation& life)
+{
+    if (unconfirmed_.count(life.worker) == 0) {
+        return;
+    }
+    settle(life.worker, false, [&](const task& other, const crash_observation& observation) {
+        return &other == &target && observation.worker_started_at_ms < life.started_at_ms;
+    });
+}
+
 void crash_ledger::run_lost(task& target, const std::string& worker)
 {
     settle(worker, true,
--- a/src/jobs/crash_ledger.h
+++ b/src/jobs/crash_ledger.h
@@ -53,6 +53,8 @@
     void begin_start(task& target, const worker_identity& worker, decisions::crash_link link);
     // The task's run on the worker has ended without the loss of the worker.
     void run_ended(task& target, const std::string& worker);
+    // The incarnation has reported a run of the task, so no earlier one has ended under that run.
+    void run_reported(task& target, const worker_incarnation& life);
     // The task's run has ended with the incarnation of the worker that it was on.
     void run_lost(task& target, const std::string& worker);
 
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -255,9 +255,9 @@
     if (handle == nullptr) {
         return;
     }
-    crashes_.worker_alive({session.info().id, session.started_at_ms()});
     apply_ends(*handle, report);
     apply_running_tasks(*handle, report);
+    crashes_.worker_alive({session.info().id, session.started_at_ms()});
     forget_ended_strays(*handle, report, requested_at);
     release_vanished_tasks(*handle, report, requested_at);
     if (std::any_of(handle->assigned.begin(), handle->assigned.end(), [](const task* target) {
@@ -297,6 +297,9 @@
 {
     const auto name = parse_task_name(end.name);
     task* const target = name ? jobs_.find_task(*name) : nullptr;
+    if (target != nullptr) {
+        crashes_.run_reported(*target, identity_of(handle).life);
+    }
     if (target == nullptr || target->phase == task_phase::done) {
         // An end that was reported before, by this worker or by another one, may have completed the
         // task, or its whole gang or occurrence, without being recorded yet.
@@ -405,6 +408,9 @@
     const bool can_adopt =
         target != nullptr && !target->owner->cancelled() && target->run <= reported.run &&
         (target->phase == task_phase::unresolved || target->phase == task_phase::waiting);
+    if (target != nullptr) {
+        crashes_.run_reported(*target, identity_of(handle).life);
+    }
     if (!is_current_run && !can_adopt) {
         stop_stray(handle, *name, reported.run);
         return;
