--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -2,6 +2,7 @@
 // lease ends at a time on the worker's clock, which starts anew, so such an order grants the
 // longest lease that the worker allows.
 
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -20,6 +21,8 @@
 
 const std::string job_id = "00000000000000a1";
 const std::string only_task = job_id + ".0.0.0";
+const std::string other_job = "00000000000000a2";
+const std::string other_task = other_job + ".0.0.0";
 // Longer than the leader takes to start a task again.
 constexpr auto slow_answers = 20ms;
 
@@ -270,6 +273,223 @@
     expect_completion_without_violation();
 }
 
+class unseen_restarts : public ::testing::Test {
+protected:
+    void start_leader()
+    {
+        fleet.workers.default_plan.duration = 20s;
+        fleet.renew_registrations(1s);
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        fleet.timers.run_for(12s);
+        fleet.renewals_paused = true;
+    }
+
+    void restart(const std::string& id, bool lists_itself)
+    {
+        fleet.workers.restart(id);
+        if (lists_itself) {
+            fleet.list_worker(fleet.workers.registration(id));
+        }
+    }
+
+    bool await_running(const std::string& task, milliseconds limit = 3000ms)
+    {
+        const auto end = fleet.timers.now() + limit;
+        while (fleet.timers.now() < end && !fleet.workers.is_running(task)) {
+            fleet.timers.run_for(1ms);
+        }
+        return fleet.workers.is_running(task);
+    }
+
+    void expect_no_violation()
+    {
+        for (const auto& violation : fleet.workers.violations()) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    test_fleet fleet{2};
+};
+
+// Guards against a late start on the third incarnation of a worker, whose stop only the second has
+// confirmed.
+TEST_F(unseen_restarts, stray_confirmed_by_the_former_incarnation_is_stopped_on_the_next)
+{
+    start_leader();
+    fleet.workers.late_order_delay = 6000ms;
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(50ms); // the first attempt is on its way
+    fleet.workers.refuse_starts("w0", order_status::no_room);
+    fleet.workers.refuse_starts("w1", order_status::accepted);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    ASSERT_TRUE(await_running(only_task, 4000ms));
+    ASSERT_EQ(fleet.workers.worker_of(only_task), "w1");
+    fleet.workers.refuse_starts("w0", order_status::accepted);
+    restart("w0", true);       // the open start is stopped on the new incarnation
+    fleet.timers.run_for(6ms); // which confirms that
+    restart("w0", true);
+    fleet.workers.set_mode("w0", worker_mode::late_orders); // stops are late, holds are answered
+    fleet.workers.late_order_delay = 12s;
+    fleet.timers.run_for(2000ms);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    fleet.timers.run_for(8s);
+    expect_no_violation();
+}
+
+// Guards against a next leader that isolates a healthy task because the incarnation before the one
+// that runs it has ended.
+TEST_F(unseen_restarts, next_leader_does_not_confirm_evidence_against_a_run_of_the_new_incarnation)
+{
+    start_leader();
+    fleet.workers.plans_by_job[job_id] = {6000ms, 1};
+    restart("w0", false);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    ASSERT_TRUE(await_running(only_task));
+    const auto first = fleet.workers.worker_of(only_task);
+    fleet.timers.run_for(2ms);
+    fleet.workers.set_mode(first, worker_mode::unreachable);
+    fleet.timers.run_for(1800ms);
+    fleet.kill("a");
+    fleet.add_node("b");
+    fleet.timers.run_for(50ms);
+    fleet.workers.set_mode(first, worker_mode::answering);
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(8s); // the run fails by itself and starts again
+    EXPECT_EQ(fleet.workers.start_count(only_task), 2);
+    EXPECT_EQ(fleet.nodes.at("b")->metrics().to_text().find("jl_isolated_starts_total"),
+              std::string::npos);
+    expect_no_violation();
+}
+
+// Guards against holds without a pause while a stop on the new incarnation gets no answer.
+TEST_F(unseen_restarts, holds_wait_while_a_stop_is_unanswered)
+{
+    start_leader();
+    fleet.workers.late_order_delay = 15s;
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(100ms);
+    restart("w0", true);
+    fleet.timers.run_for(500ms);
+    const auto before = fleet.workers.holds();
+    fleet.timers.run_for(3s);
+    EXPECT_LE(fleet.workers.holds() - before, 30U); // the shortest wait of a hold is 100 ms
+}
+
+// Guards against a lease that a late start of a former incarnation's run prolongs for other tasks.
+TEST_F(unseen_restarts, late_start_prolongs_the_lease_of_other_tasks)
+{
+    start_leader();
+    fleet.workers.late_order_delay = 9s;
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(100ms);
+    restart("w0", true);
+    fleet.timers.run_for(50ms);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    fleet.timers.run_for(2500ms); // the stop has been confirmed
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    ASSERT_EQ(fleet.submit(make_job(other_job, 1, 1)), submit_outcome::accepted);
+    ASSERT_TRUE(await_running(other_task));
+    ASSERT_EQ(fleet.workers.worker_of(other_task), "w0");
+    fleet.workers.refuse_starts("w1", order_status::accepted);
+    fleet.timers.run_for(6500ms); // the late start has arrived
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.timers.run_for(14s);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    fleet.timers.run_for(2s);
+    expect_no_violation();
+}
+
+// Guards against a next leader that counts too short a lease because its predecessor, which knew of
+// the restart, could not record it.
+TEST_F(unseen_restarts, next_leader_counts_the_longest_lease_though_the_roster_was_not_written)
+{
+    start_leader();
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    fleet.workers.restart("w0");
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    ASSERT_TRUE(await_running(only_task));
+    fleet.nodes.at("a")->store().lost_commits = "jl/roster/";
+    fleet.timers.run_for(700ms);
+    fleet.kill("a");
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.workers.refuse_starts("w1", order_status::accepted);
+    fleet.add_node("b");
+    fleet.timers.run_for(14s);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    fleet.timers.run_for(2s);
+    expect_no_violation();
+}
+
+// Guards against a task that starts by the labels and capacity of the former incarnation.
+TEST_F(unseen_restarts, task_with_a_requirement_waits_for_the_registration_of_the_new_incarnation)
+{
+    start_leader();
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    ASSERT_TRUE(await_running(only_task));
+    fleet.timers.run_for(1500ms);
+    fleet.workers.restart("w0"); // noticed by the hold; the registration is that of the former one
+    fleet.timers.run_for(200ms);
+    auto spec = make_job(other_job, 1, 1);
+    spec.steps[0].required_label = "kind";
+    ASSERT_EQ(fleet.submit(spec), submit_outcome::accepted);
+    fleet.timers.run_for(500ms);
+    EXPECT_EQ(fleet.workers.start_count(other_task), 0);
+}
+
+// Guards against a healthy task that is given up: its runs lapse on workers that have restarted
+// unseen and are cut off right after; no worker crashes under it.
+TEST(unseen_restarts_in_series, healthy_task_on_unseen_restarts_that_are_cut_off_is_not_given_up)
+{
+    test_fleet fleet{5};
+    fleet.workers.max_lease = 10000ms;
+    fleet.workers.default_plan.duration = 20s;
+    fleet.renew_registrations(1s);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(12s);
+    fleet.renewals_paused = true;
+    std::set<std::string> used;
+    const auto restart_idle = [&fleet, &used] {
+        for (int number = 0; number < 5; ++number) {
+            const auto id = "w" + std::to_string(number);
+            if (used.count(id) == 0) {
+                fleet.workers.restart(id);
+            }
+        }
+    };
+    restart_idle();
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    for (int round = 0; round < 3; ++round) {
+        for (int waited = 0; waited < 20000 && !fleet.workers.is_running(only_task); ++waited) {
+            fleet.timers.run_for(1ms);
+        }
+        ASSERT_TRUE(fleet.workers.is_running(only_task)) << round;
+        const auto worker = fleet.workers.worker_of(only_task);
+        used.insert(worker);
+        fleet.timers.run_for(2ms); // the start is answered
+        fleet.workers.set_mode(worker, worker_mode::unreachable);
+        restart_idle();
+        for (int waited = 0; waited < 20000 && fleet.workers.start_count(only_task) == round + 1;
+             ++waited) {
+            fleet.timers.run_for(1ms);
+        }
+        fleet.workers.set_mode(worker, worker_mode::answering);
+    }
+    EXPECT_EQ(fleet.workers.crash_count(only_task), 0);
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 60s));
+    for (const auto& violation : fleet.workers.violations()) {
+        ADD_FAILURE() << violation;
+    }
+}
+
 // Guards against a task on a worker of a service that the job's record does not name: the next
 // leader would not wait for that worker's report.
 TEST(changed_service, is_recorded_before_a_task_starts_there)
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -326,6 +326,7 @@
     const auto ended = worker.highest_ended_run.find(name);
     if (active != worker.active.end() ||
         (ended != worker.highest_ended_run.end() && order.run <= ended->second)) {
+        extend_lease(worker, order.lease_until); // also by a start that is refused so
         result.status = order_status::superseded;
         return result;
     }
