--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -100,8 +100,8 @@
     void on_operator_item(const store_item& item);
     void adopt_config(fleet_config config);
     void on_worker_item(const store_item& item);
-    // Adds the worker to the roster, or updates its entry.
-    void record_worker(const worker_handle& handle);
+    // Adds the worker to the roster, or updates its entry. Returns false if nothing has changed.
+    bool record_worker(const worker_handle& handle);
     // Records that the longest lease of workers that have restarted is over.
     void record_ended_leases();
 
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -132,16 +132,18 @@
     }
 }
 
-void engine::record_worker(const worker_handle& handle)
+bool engine::record_worker(const worker_handle& handle)
 {
     const auto& info = handle.info();
-    roster_.set({info.id, info.service, info.address, info.vm, handle.session->started_at_ms(),
-                 handle.session->may_have_longest_lease()});
+    return roster_.set({info.id, info.service, info.address, info.vm,
+                        handle.session->started_at_ms(), handle.session->may_have_longest_lease()});
 }
 
 void engine::on_worker_restarted(worker_handle& handle)
 {
-    record_worker(handle);
+    if (record_worker(handle)) {
+        handle.roster_entry_durable = false;
+    }
     workers_with_longest_lease_.insert(handle.info().id);
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -75,9 +75,9 @@
     net::boot_time may_be_stopping_until{}; // by an order of the former leader
     int order_attempts = 0;                 // how often the last order was sent
     bool start_sent = false;                // the last start has been sent to `worker`
-    // Start time of the incarnation of `worker` that first reported the run; 0: none has yet. The
-    // answer to a start does not tell which incarnation gave it.
-    std::int64_t reported_by_ms = 0;
+    // A report has listed the run, and named the incarnation of `worker` that has it. The answer to
+    // a start does not tell which one gave it.
+    bool reported = false;
     // `worker` has restarted, and the next report tells whether the new incarnation has the run.
     bool awaits_report = false;
     std::string ticket; // the advisor's permission for the last start
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -260,7 +260,7 @@
     target.order_confirmed_at = order_unconfirmed;
     target.order_attempts = 0;
     target.start_sent = false;
-    target.reported_by_ms = 0;
+    target.reported = false;
     target.isolation = task_isolation::none;
     if (options.isolated) {
         isolate(target, handle);
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -72,7 +72,6 @@
         services_with_unseen_losses_.insert(handle->info().service);
     }
     handle->restarted_at = timers_.now();
-    handle->roster_entry_durable = false;
     listener_.on_worker_restarted(*handle);
     std::set<task*> lost;
     for (auto* const target : handle->assigned) {
@@ -116,7 +115,6 @@
     log_event(log_level::info, "worker.new_clock",
               {{"worker", session.info().id},
                {"known_incarnation", std::to_string(session.started_at_ms())}});
-    handle->roster_entry_durable = false;
     listener_.on_worker_restarted(*handle);
 }
 
@@ -126,7 +124,7 @@
 {
     const bool stop_unconfirmed =
         target.phase == task_phase::stopping && target.order_confirmed_at == order_unconfirmed;
-    return target.reported_by_ms == 0 || stop_unconfirmed || start_is_open(target) ||
+    return !target.reported || stop_unconfirmed || start_is_open(target) ||
            started_by_former_leader(target);
 }
 
@@ -167,7 +165,7 @@
 {
     // The clock in an answer tells of a longer lease, see session_listener::on_new_clock(); without
     // an answer nothing does.
-    if (target.reported_by_ms == 0 && start_is_open(target) &&
+    if (!target.reported && start_is_open(target) &&
         timers_.now() < handle.session->lease_bound_after_unseen_restart()) {
         return true;
     }
@@ -187,18 +185,18 @@
         if (handle.assigned.empty() || handle.session->lease_bound() > now) {
             continue;
         }
-        std::set<task*> kept;
+        std::set<task*> expired;
         for (auto* const target : handle.assigned) {
             const bool stopped_after_restart = target->phase == task_phase::stopping &&
                                                target->start_sent_at < handle.restarted_at;
             // The report of a worker that is reachable again tells whether the task still runs.
             const bool was_kept = stopped_after_restart || !handle.session->reachable();
             if (target->start_sent && was_kept && !may_run_unseen(handle, *target)) {
-                kept.insert(target);
+                expired.insert(target);
             }
         }
-        if (!kept.empty()) {
-            release_lost_tasks(handle, kept, loss_cause::lease_expired);
+        if (!expired.empty()) {
+            release_lost_tasks(handle, expired, loss_cause::lease_expired);
         }
     }
 }
@@ -441,7 +439,7 @@
         target->awaits_report = false;
         crashes_.run_ended(*target, worker); // it was not on the incarnation that has ended
     }
-    target->reported_by_ms = handle.session->started_at_ms();
+    target->reported = true;
     if (target->percent != reported.percent) {
         target->percent = reported.percent;
         target->changed_at = now;
--- a/src/jobs/worker_roster.cpp
+++ b/src/jobs/worker_roster.cpp
@@ -53,16 +53,17 @@
         [](std::size_t sum, const auto& record) { return sum + record.second.members.size(); });
 }
 
-void worker_roster::set(const roster_entry& entry)
+bool worker_roster::set(const roster_entry& entry)
 {
     const auto key = key_of(entry.worker);
     auto& record = records_[key];
     const auto found = record.members.find(entry.worker);
     if (found != record.members.end() && found->second.entry == entry) {
-        return;
+        return false;
     }
     record.members[entry.worker] = {entry, ++record.version};
     on_changed_(key);
+    return true;
 }
 
 void worker_roster::erase(const std::string& worker)
--- a/src/jobs/worker_roster.h
+++ b/src/jobs/worker_roster.h
@@ -29,7 +29,8 @@
     // Adds the entries of a record that was read from the store, and returns them.
     std::vector<roster_entry> load(const store_item& item);
 
-    void set(const roster_entry& entry);
+    // Returns false if the entry is there already.
+    bool set(const roster_entry& entry);
     void erase(const std::string& worker);
     std::size_t size() const;
 
--- a/src/jobs/worker_roster_test.cpp
+++ b/src/jobs/worker_roster_test.cpp
@@ -41,7 +41,7 @@
 {
     roster.set(entry(1));
     changed_keys.clear();
-    roster.set(entry(1));
+    EXPECT_FALSE(roster.set(entry(1)));
     EXPECT_TRUE(changed_keys.empty());
 }
 
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -51,8 +51,8 @@
                            net::boot_time requested_at) = 0;
     // The worker has ceased to answer. Its tasks may still run.
     virtual void on_unreachable(worker_session& session) = 0;
-    // The worker has restarted under the same id; `former` has ended. No task that was started
-    // before runs any more, but orders without an answer may still reach the new incarnation.
+    // The worker has restarted under the same id; `former` has ended, and what it has reported runs
+    // no more. Other orders may have reached the new incarnation, or may still do so.
     virtual void on_restarted(worker_session& session, const worker_incarnation& former,
                               incarnation_source source) = 0;
     // An answer without an incarnation has a clock that has started anew, so the worker has
