Soak: workers that restart under their ids and are cut off soon after

A worker restarts, in half of the series without closing its connections, renews its registration up to 1.5 s later, and is cut off 0 to 2.5 s after the restart for 1 to 9 s; in half of the series the leader is killed. One of 16 jobs has tasks of 4 s. The nodes of the soak are now told the longest lease that the stand-in grants, 10 s. They assumed 6 s, with which the stand-in broke its own promise.

--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -21,6 +21,8 @@
 constexpr int attempts = 4;
 constexpr int cancelled_share = 8;      // one of so many jobs is cancelled
 constexpr unsigned crashing_share = 32; // one of so many jobs crashes its workers
+constexpr unsigned long_share = 16;     // one of so many jobs has long tasks, if any has
+constexpr auto short_estimate = 400ms;
 constexpr std::size_t jobs_asked_for = 20;
 
 constexpr int ok = 200;
@@ -28,18 +30,27 @@
 constexpr int too_many = 429;
 constexpr int unavailable = 503;
 
+unsigned long number_of(const std::string& id)
+{
+    return std::stoul(id.substr(8), nullptr, 16);
+}
+
 // True if a task of the job crashes each worker that starts it, by the number that ends its id.
 bool crashes_workers(const std::string& id)
 {
-    return std::stoul(id.substr(8), nullptr, 16) % crashing_share == crashing_share - 1;
+    return number_of(id) % crashing_share == crashing_share - 1;
 }
 
-std::string job_body(const std::string& id)
+std::string job_body(const std::string& id, bool long_tasks)
 {
-    const char* const specification =
-        crashes_workers(id) ? adapter::testing::crash_specification : "plan";
+    const bool is_long = long_tasks && number_of(id) % long_share == 0;
+    const auto estimate = is_long ? adapter::testing::long_task_duration : short_estimate;
+    const char* specification = is_long ? adapter::testing::long_specification : "plan";
+    if (crashes_workers(id)) {
+        specification = adapter::testing::crash_specification;
+    }
     const json step = {
-        {"count", 3}, {"cpu", 2000}, {"memoryRequestMb", 1024}, {"estimatedMs", 400}};
+        {"count", 3}, {"cpu", 2000}, {"memoryRequestMb", 1024}, {"estimatedMs", estimate.count()}};
     auto second = step;
     second["after"] = {0};
     return json{{"specification", specification}, {"steps", {step, second}}}.dump();
@@ -87,7 +98,9 @@
     std::vector<std::unique_ptr<http::client>> clients_;
 };
 
-soak_clients::soak_clients(const soak_fleet& fleet, std::uint64_t seed, int callers) : fleet_(fleet)
+soak_clients::soak_clients(const soak_fleet& fleet, std::uint64_t seed, int callers,
+                           bool long_tasks)
+    : fleet_(fleet), long_tasks_(long_tasks)
 {
     for (int index = 0; index < callers; ++index) {
         threads_.emplace_back([this, index, seed] { run(static_cast<std::size_t>(index), seed); });
@@ -131,7 +144,7 @@
 {
     bool maybe = false; // some attempt may have been accepted
     for (int attempt = 0; attempt < attempts && !stopping_; ++attempt) {
-        const int status = caller.call("POST", id, job_body(id));
+        const int status = caller.call("POST", id, job_body(id, long_tasks_));
         if (status == ok) {
             set_fate(id, fate::accepted);
             return;
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -21,7 +21,8 @@
 // Each caller keeps its connections open until they fail.
 class soak_clients {
 public:
-    soak_clients(const soak_fleet& fleet, std::uint64_t seed, int callers);
+    // With `long_tasks`, the tasks of some jobs run for several seconds.
+    soak_clients(const soak_fleet& fleet, std::uint64_t seed, int callers, bool long_tasks);
     ~soak_clients();
     soak_clients(const soak_clients&) = delete;
     soak_clients& operator=(const soak_clients&) = delete;
@@ -50,6 +51,7 @@
     void set_fate(const std::string& id, fate fate);
 
     const soak_fleet& fleet_;
+    const bool long_tasks_;
     std::atomic<bool> stopping_{false};
     mutable std::mutex mutex_;
     std::map<std::string, fate> jobs_; // by id
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "http/client.h"
+#include "platform/testing/platform_standin.h"
 #include "tests/harness/deployment.h"
 #include "tests/harness/node_settings.h"
 
@@ -28,6 +29,11 @@
     return std::string(JL_BIN_DIR) + "/" + name;
 }
 
+std::string node_name(std::size_t index)
+{
+    return "node-" + std::to_string(index);
+}
+
 } // namespace
 
 std::optional<http::response> exchange(const endpoint& server, const std::string& method,
@@ -83,10 +89,12 @@
 void soak_fleet::start_node(std::size_t index)
 {
     auto& node = nodes_[index];
-    const auto name = "node-" + std::to_string(index);
+    const auto name = node_name(index);
     const auto path = directory_ / (name + ".json");
-    std::ofstream(path) << harness::node_settings(
-        name, {node.callers, node.readiness, node.peers, node.platform});
+    auto settings = json::parse(
+        harness::node_settings(name, {node.callers, node.readiness, node.peers, node.platform}));
+    settings["bounds"]["maxHoldMs"] = adapter::testing::longest_lease.count();
+    std::ofstream(path) << settings.dump();
     const auto log = directory_ / (name + "." + std::to_string(node.starts++) + ".log");
     node.process = std::make_unique<harness::child_process>(
         program("jl-node"), std::vector<std::string>{"--settings", path.string()}, log.string());
@@ -112,7 +120,7 @@
 void soak_fleet::await_stop(std::size_t index)
 {
     auto& node = nodes_[index];
-    const auto name = "node-" + std::to_string(index);
+    const auto name = node_name(index);
     const auto exit = harness::wait_for_exit(*node.process, stop_limit);
     if (!exit) {
         complaints_.push_back(name + " did not end after SIGTERM");
@@ -142,8 +150,36 @@
     exchange(platform_address_, "POST", "/standin/control", command.dump(), control_limit);
 }
 
-void soak_fleet::apply(const fault& fault, milliseconds now)
+int soak_fleet::leader() const
 {
+    const auto answer = exchange(platform_address_, "GET", "/standin/leader", "", control_limit);
+    const auto entry = answer ? json::parse(answer->body, nullptr, false) : json();
+    const auto name = entry.is_object() ? entry.value("node", "") : "";
+    for (int index = 0; index < nodes(); ++index) {
+        if (name == node_name(static_cast<std::size_t>(index))) {
+            return index;
+        }
+    }
+    return 0;
+}
+
+void soak_fleet::restart_worker(const fault& fault) const
+{
+    json command = {{"restart_worker", fault.length.count()}};
+    if (fault.trouble) {
+        command["silent"] = fault.trouble->silent;
+        command["register_after_ms"] = fault.trouble->registered_after.count();
+        command["cut_after_ms"] = fault.trouble->cut_after.count();
+        command["cut_ms"] = fault.trouble->cut_length.count();
+    }
+    control(command);
+}
+
+void soak_fleet::apply(fault fault, milliseconds now)
+{
+    if (fault.target == leading_node) {
+        fault.target = leader();
+    }
     const auto index = static_cast<std::size_t>(fault.target % nodes());
     auto& node = nodes_[index];
     proxy_fault on_path;
@@ -195,7 +231,7 @@
         lasts = false;
         break;
     case fault_kind::crash_worker:
-        control({{"restart_worker", fault.length.count()}});
+        restart_worker(fault);
         lasts = false;
         break;
     case fault_kind::change_config:
@@ -269,7 +305,7 @@
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         auto& node = nodes_[index];
         if (node.process && !node.paused && !node.stopping && !node.process->running()) {
-            complaints_.push_back("node-" + std::to_string(index) + " ended by itself");
+            complaints_.push_back(node_name(index) + " ended by itself");
             node.process.reset();
             start_node(index);
         }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -32,7 +32,7 @@
     bool all_ready() const;
 
     // Does what is due now: begins faults and ends those whose time is over.
-    void apply(const fault& fault, std::chrono::milliseconds now);
+    void apply(fault fault, std::chrono::milliseconds now);
     void end_due(std::chrono::milliseconds now);
     // Ends all faults and starts what does not run.
     void heal();
@@ -65,6 +65,9 @@
     void ask_to_stop(std::size_t index);
     void await_stop(std::size_t index);
     void end(const fault& fault);
+    // The node that leads by the store; node 0 if none does.
+    int leader() const;
+    void restart_worker(const fault& fault) const;
     void control(const nlohmann::json& command) const;
     standins::fault_proxy& path(int target);
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -74,7 +74,7 @@
         std::cout << "seed " << seed << ": the nodes did not become ready\n";
         return false;
     }
-    soak_clients clients(fleet, seed, options.callers);
+    soak_clients clients(fleet, seed, options.callers, options.shape.restarts);
     play(plan, fleet);
     fleet.heal();
     clients.stop();
@@ -107,19 +107,17 @@
 int usage()
 {
     std::cerr << "usage: jl-soak [--seed N] [--seeds COUNT] [--seconds S] [--nodes N] "
-                 "[--callers N] [--logs DIRECTORY]\n";
+                 "[--callers N] [--logs DIRECTORY] [--restarts]\n";
     return 2;
 }
 
 bool parse(int argc, char** argv, options& options)
 {
-    const option names[] = {{"seed", required_argument, nullptr, 's'},
-                            {"seeds", required_argument, nullptr, 'n'},
-                            {"seconds", required_argument, nullptr, 't'},
-                            {"nodes", required_argument, nullptr, 'm'},
-                            {"callers", required_argument, nullptr, 'c'},
-                            {"logs", required_argument, nullptr, 'l'},
-                            {nullptr, 0, nullptr, 0}};
+    const option names[] = {
+        {"seed", required_argument, nullptr, 's'},    {"seeds", required_argument, nullptr, 'n'},
+        {"seconds", required_argument, nullptr, 't'}, {"nodes", required_argument, nullptr, 'm'},
+        {"callers", required_argument, nullptr, 'c'}, {"logs", required_argument, nullptr, 'l'},
+        {"restarts", no_argument, nullptr, 'r'},      {nullptr, 0, nullptr, 0}};
     for (int name = 0; (name = getopt_long(argc, argv, "", names, nullptr)) != -1;) {
         const auto number = optarg == nullptr ? 0 : std::atoll(optarg); // NOLINT(cert-err34-c)
         switch (name) {
@@ -141,6 +139,9 @@
         case 'l':
             options.directory = optarg;
             break;
+        case 'r':
+            options.shape.restarts = true;
+            break;
         default:
             return false;
         }
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -17,6 +17,15 @@
 constexpr milliseconds shortest_fault{100};
 constexpr milliseconds longest_fault{5000};
 
+// Series of workers that restart and are cut off soon after, from a random stream of their own.
+constexpr std::uint64_t restart_stream = 0x9e3779b97f4a7c15;
+constexpr milliseconds shortest_restart_gap{1000};
+constexpr milliseconds longest_restart_gap{4000};
+constexpr milliseconds latest_registration{1500};
+constexpr milliseconds latest_cut{2500};
+constexpr milliseconds shortest_cut{1000};
+constexpr milliseconds longest_cut{9000};
+
 class dice {
 public:
     explicit dice(std::uint64_t seed) : engine_(seed) {}
@@ -31,6 +40,38 @@
     std::mt19937_64 engine_;
 };
 
+void add_restarts(soak_plan& plan)
+{
+    dice dice(plan.seed ^ restart_stream);
+    for (auto at = first_fault; at < plan.length;
+         at += dice.time(shortest_restart_gap, longest_restart_gap)) {
+        fault restart;
+        restart.kind = fault_kind::crash_worker;
+        restart.at = at;
+        restart.length = dice.time(shortest_fault, longest_fault);
+        restart.trouble = restart_trouble{
+            dice.number(2) == 0, dice.time(milliseconds(0), latest_registration),
+            dice.time(milliseconds(0), latest_cut), dice.time(shortest_cut, longest_cut)};
+        plan.faults.push_back(restart);
+        if (dice.number(2) == 0) {
+            fault kill;
+            kill.kind = fault_kind::kill_node;
+            kill.at = at + dice.time(milliseconds(0), latest_cut);
+            kill.length = dice.time(shortest_fault, longest_fault);
+            kill.target = leading_node;
+            plan.faults.push_back(kill);
+        }
+    }
+}
+
+std::string describe(const restart_trouble& trouble)
+{
+    return std::string(trouble.silent ? " silent" : "") +
+           " registered_after=" + std::to_string(trouble.registered_after.count()) +
+           "ms cut_after=" + std::to_string(trouble.cut_after.count()) +
+           "ms cut_for=" + std::to_string(trouble.cut_length.count()) + "ms";
+}
+
 } // namespace
 
 const char* to_string(fault_kind kind)
@@ -87,6 +128,9 @@
             at += dice.time(milliseconds(0), longest_step);
         }
     }
+    if (shape.restarts) {
+        add_restarts(plan);
+    }
     std::stable_sort(plan.faults.begin(), plan.faults.end(),
                      [](const fault& left, const fault& right) { return left.at < right.at; });
     return plan;
@@ -94,9 +138,12 @@
 
 std::string describe(const fault& fault)
 {
-    return std::string(to_string(fault.kind)) + " target=" + std::to_string(fault.target) +
+    const auto target =
+        fault.target == leading_node ? std::string("leader") : std::to_string(fault.target);
+    return std::string(to_string(fault.kind)) + " target=" + target +
            " at=" + std::to_string(fault.at.count()) +
-           "ms for=" + std::to_string(fault.length.count()) + "ms";
+           "ms for=" + std::to_string(fault.length.count()) + "ms" +
+           (fault.trouble ? describe(*fault.trouble) : "");
 }
 
 } // namespace jl::soak
