--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -46,15 +46,21 @@
         fleet.list_worker(fleet.workers.registration("w0"));
     }
 
-    // Restarts worker w0 and starts the task there before the leader knows of the restart.
-    void submit_to_restarted_worker()
+    // Submits the task and waits until it runs, on worker w0.
+    void submit_to_first_worker()
     {
-        fleet.workers.restart("w0");
         ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
         while (!fleet.workers.is_running(only_task)) {
             fleet.timers.run_for(1ms);
         }
         ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+    }
+
+    // Restarts worker w0 and starts the task there before the leader knows of the restart.
+    void submit_to_restarted_worker()
+    {
+        fleet.workers.restart("w0");
+        submit_to_first_worker();
         fleet.timers.run_for(fleet.workers.latency + 1ms); // the start is answered
     }
 
@@ -65,6 +71,15 @@
         fleet.workers.set_mode("w0", worker_mode::answering);
     }
 
+    // Another node takes over while worker w0, which is unreachable, stays so beyond its lease.
+    void replace_leader_during_the_cut()
+    {
+        fleet.kill("a");
+        fleet.add_node("b");
+        fleet.timers.run_for(14s);
+        fleet.workers.set_mode("w0", worker_mode::answering);
+    }
+
     void expect_completion_without_violation()
     {
         EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 60s));
@@ -199,10 +214,7 @@
     submit_to_restarted_worker();
     fleet.workers.set_mode("w0", worker_mode::unreachable);
     fleet.timers.run_for(100ms);
-    fleet.kill("a");
-    fleet.add_node("b");
-    fleet.timers.run_for(14s);
-    fleet.workers.set_mode("w0", worker_mode::answering);
+    replace_leader_during_the_cut();
     expect_completion_without_violation();
 }
 
@@ -215,10 +227,7 @@
     submit_to_restarted_worker();
     fleet.workers.set_mode("w0", worker_mode::unreachable);
     fleet.timers.run_for(2ms);
-    fleet.kill("a");
-    fleet.add_node("b");
-    fleet.timers.run_for(14s);
-    fleet.workers.set_mode("w0", worker_mode::answering);
+    replace_leader_during_the_cut();
     expect_completion_without_violation();
 }
 
@@ -231,11 +240,7 @@
     fleet.renewals_paused = true;
     fleet.workers.restart("w0");
     fleet.workers.set_mode("w0", worker_mode::answer_lost);
-    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
-    while (!fleet.workers.is_running(only_task)) {
-        fleet.timers.run_for(1ms);
-    }
-    ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+    submit_to_first_worker();
     cut_off_first_worker(14s);
     expect_completion_without_violation();
 }
@@ -246,11 +251,7 @@
     start_leader();
     fleet.renewals_paused = true;
     fleet.workers.restart("w0");
-    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
-    while (!fleet.workers.is_running(only_task)) {
-        fleet.timers.run_for(1ms);
-    }
-    ASSERT_EQ(fleet.workers.worker_of(only_task), "w0");
+    submit_to_first_worker();
     cut_off_first_worker(14s); // the answer is on its way, the stop that follows gets lost
     expect_completion_without_violation();
 }
