Use only workers whose service the configuration names

Cause, first of two: platform/documents.cpp takes any service that is a name, and no later step compares it with the configuration, so the item counted as the registration of a worker that had replaced the one on its VM.

Now worker_registry stands between the store and the task runner. It leaves out items that cannot be decoded and those whose service neither the services nor the queues of the configuration name. One of the latter comes into use when a configuration names its service; a worker whose service has gone gets no new tasks from its next renewal on, and its tasks go on. Each reason is logged once for an item, no more with each renewal: the codec now returns the reason and does not log it.

Ruled out: deciding in the codec, which does not know the configuration and decides nothing.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -22,6 +22,7 @@
 #include "jobs/task_runner.h"
 #include "jobs/vm_reservations.h"
 #include "jobs/watched_prefix.h"
+#include "jobs/worker_registry.h"
 #include "jobs/worker_roster.h"
 
 namespace jl::jobs {
@@ -162,6 +163,7 @@
     std::unique_ptr<vm_order_log> vm_orders_;
     std::unique_ptr<wave_manager> wave_manager_;
     std::unique_ptr<capacity_manager> capacity_manager_;
+    std::unique_ptr<worker_registry> worker_registry_;
     std::unique_ptr<watched_prefix> worker_registrations_;
     bool registrations_listed_ = false; // the first listing has been applied
     std::unique_ptr<watched_prefix> operator_items_;
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -73,6 +73,15 @@
                {"active", std::to_string(jobs_.active().size())},
                {"roster", std::to_string(roster_.size())},
                {"revision", std::to_string(listing.at)}});
+    worker_registry_ = std::make_unique<worker_registry>(
+        *ports_.documents,
+        worker_registry::callbacks{
+            [this](const worker_registration& info, registration_source source) {
+                if (runner_->worker_registered(info, source)) {
+                    record_worker(*runner_->find_worker(info.id));
+                }
+            },
+            [this](const std::string& worker) { runner_->worker_unregistered(worker); }});
     worker_registrations_ = std::make_unique<watched_prefix>(
         timers_, *ports_.store, ports_.documents->worker_prefix(), worker_resync_period,
         watched_prefix::callbacks{[this](const store_item& item) { on_worker_item(item); },
@@ -194,6 +203,7 @@
     if (vm_directory_) {
         vm_directory_->config_changed(*config_);
     }
+    worker_registry_->config_changed(*config_);
     for (auto* const job : jobs_.active()) {
         if (const auto* const queue = config_->find_queue(job->spec.queue)) {
             add_service(*job, queue->service);
@@ -220,21 +230,8 @@
 
 void engine::on_worker_item(const store_item& item)
 {
-    const auto prefix = ports_.documents->worker_prefix().size();
-    if (item.revision == 0) {
-        runner_->worker_unregistered(item.key.substr(prefix));
-        return;
-    }
-    const auto info = ports_.documents->decode_worker(item);
-    if (!info) {
-        runner_->worker_unregistered(item.key.substr(prefix));
-        return;
-    }
-    const auto source =
-        registrations_listed_ ? registration_source::renewal : registration_source::listing;
-    if (runner_->worker_registered(*info, source)) {
-        record_worker(*runner_->find_worker(info->id));
-    }
+    worker_registry_->apply(item, registrations_listed_ ? registration_source::renewal
+                                                        : registration_source::listing);
 }
 
 // --- Records -----------------------------------------------------------------------------------
--- a/src/jobs/odd_entries_test.cpp
+++ b/src/jobs/odd_entries_test.cpp
@@ -59,5 +59,55 @@
     EXPECT_TRUE(fleet.workers.violations().empty());
 }
 
+// A fleet with one job of two long tasks on one worker.
+class foreign_entries : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        fleet.workers.default_plan.duration = 9s;
+        fleet.renew_registrations(1s);
+        fleet.add_node("a");
+        ASSERT_TRUE(fleet.await_leader());
+        auto spec = make_job(first_job, 1, 2);
+        spec.steps[0].request = {2000, 1024, 0};
+        ASSERT_EQ(fleet.submit(spec), submit_outcome::accepted);
+        fleet.timers.run_for(1s);
+        worker = fleet.workers.worker_of(first_job + ".0.0.0");
+        ASSERT_FALSE(worker.empty());
+    }
+
+    // Another writer claims that a worker of this service has replaced the one with the tasks.
+    void put_foreign_entry(const std::string& service)
+    {
+        auto entry = fleet.workers.registration(worker);
+        entry.id = "other-writer";
+        entry.service = service;
+        entry.address = {"10.9.9.9", 9};
+        entry.started_at_ms += 100;
+        fleet.list_worker(entry);
+    }
+
+    void expect_each_task_runs_once()
+    {
+        EXPECT_TRUE(fleet.await_state(first_job, job_state::completed, 12s));
+        for (const auto* const task : {".0.0.0", ".0.0.1"}) {
+            EXPECT_EQ(fleet.workers.start_count(first_job + task), 1) << task;
+        }
+        EXPECT_TRUE(fleet.workers.violations().empty());
+    }
+
+    test_fleet fleet{2};
+    std::string worker;
+};
+
+// Guards against the loss of a worker's running tasks through an entry of another writer, whose
+// service no configuration names: the tasks were started a second time beside themselves.
+TEST_F(foreign_entries, entry_of_a_service_that_is_not_configured_ends_no_worker)
+{
+    put_foreign_entry("inventory");
+    expect_each_task_runs_once();
+    EXPECT_EQ(fleet.workers.holds_to_unknown_workers(), 0U);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/jobs/ports.h
+++ b/src/jobs/ports.h
@@ -273,14 +273,16 @@
 
 // --- Documents from operators and workers --------------------------------------------------------
 
-// Decodes the documents that operators and workers write to the store. The decode functions log the
-// reason and return nothing if a document is invalid.
+// Decodes the documents that operators and workers write to the store. The decode functions return
+// nothing if a document is invalid. Those for operators' documents log the reason.
 class document_codec {
 public:
     virtual ~document_codec() = default;
     virtual std::optional<fleet_config> decode_config(const store_item& item) const = 0;
     virtual std::optional<wave_request> decode_wave(const store_item& item) const = 0;
-    virtual std::optional<worker_registration> decode_worker(const store_item& item) const = 0;
+    // Returns nothing, with the reason in `error`, if the item is no worker's registration.
+    virtual std::optional<worker_registration> decode_worker(const store_item& item,
+                                                             std::string& error) const = 0;
     virtual std::string encode_wave_status(bool completed) const = 0;
     virtual std::string wave_status_key(std::int64_t wave) const = 0;
 
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -69,6 +69,7 @@
         auto& timers = fleet_.timers_;
         ++fleet_.holds_;
         const auto found = fleet_.workers_.find(worker_);
+        fleet_.holds_to_unknown_workers_ += found == fleet_.workers_.end() ? 1 : 0;
         const auto unanswered = [done] {
             hold_report report;
             report.result.status = order_status::unanswered;
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -112,6 +112,7 @@
     // Number of tasks that run on the worker.
     int running(const std::string& id) const;
     bool is_running(const std::string& task) const;
+    bool knows(const std::string& id) const { return workers_.count(id) != 0; }
     // True if the worker's process runs.
     bool is_up(const std::string& id) const { return workers_.at(id).up; }
     // True if the task runs and has completed its start-up.
@@ -127,6 +128,8 @@
     net::boot_time stopped_at() const { return stopped_at_; }
     // Number of hold requests that leaders have sent.
     std::size_t holds() const { return holds_; }
+    // Of these, those to workers that do not exist.
+    std::size_t holds_to_unknown_workers() const { return holds_to_unknown_workers_; }
 
 private:
     class port;
@@ -203,6 +206,7 @@
     std::map<std::string, std::int64_t> unacknowledged_done_;
     std::size_t started_runs_ = 0;
     std::size_t holds_ = 0;
+    std::size_t holds_to_unknown_workers_ = 0;
     net::boot_time stopped_at_{};
 };
 
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -106,7 +106,7 @@
     if (!renewals_paused) {
         const auto listed = documents.workers;
         for (const auto& [id, info] : listed) {
-            list_worker(workers.registration(id));
+            list_worker(workers.knows(id) ? workers.registration(id) : info);
         }
     }
     timers.call_after(interval, [this, interval] { renew_registrations(interval); });
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -31,10 +31,15 @@
         return result;
     }
     std::optional<wave_request> decode_wave(const store_item&) const override { return wave; }
-    std::optional<worker_registration> decode_worker(const store_item& item) const override
+    std::optional<worker_registration> decode_worker(const store_item& item,
+                                                     std::string& error) const override
     {
         const auto found = workers.find(item.key.substr(worker_prefix().size()));
-        return found == workers.end() ? std::nullopt : std::make_optional(found->second);
+        if (found == workers.end()) {
+            error = "no such worker";
+            return std::nullopt;
+        }
+        return found->second;
     }
     std::string encode_wave_status(bool completed) const override
     {
@@ -109,8 +114,8 @@
     void request_wave(const wave_request& wave);
     void list_worker(const worker_registration& info);
     void unlist_worker(const std::string& id);
-    // Lets the listed workers renew their registrations at this interval from now on, except while
-    // `renewals_paused`.
+    // Lets the listed workers, and other writers, renew their registrations at this interval from
+    // now on, except while `renewals_paused`.
     void renew_registrations(milliseconds interval);
 
     // Returns the engine of the leading process; null if no engine is ready.
