A registration ends no worker: only answers and elapsed time do

A registration may be another writer's. The same cause elsewhere: - worker_session::update() took a later start in a registration for a restart: tasks were lost and the answers of the true incarnation counted as those of a former one, for good; - a registration with another address ended the session, or was recorded for the next leader while the session stayed at the old one; - vm_directory::worker_on_vm() preferred the latest start, so such an item hid the worker from waves, moves and pool sizes: a wave stood still; - a worker was taken to have ended with a VM that was moved, although the VM was known from its registration only; - a session that was ended wrongly stayed so although the worker went on renewing its registration.

Now a registration is a reason to ask. When a worker answers whose registration names a VM, the earlier workers there are asked: one that answers has not been replaced; one that leaves two requests in a row unanswered has, and its loss is evidence of a crash. So a registration and silence end nothing before the lease; it takes the successor's own answer too. A later start is a hint: the leader asks at once, counts the longest lease and starts nothing before it has recorded that, and believes neither side's earlier answers until one that was asked for afterwards names the incarnation. Another address is followed once the worker no longer answers at the present one; a refusal by whoever is there says nothing about the worker. Of the workers on a VM, only those that have answered count, all of them are drained, and a VM has no tasks only if none of them may have any.

Price: up to two unanswered requests until the tasks of a replaced worker start again, and a report until a restart under the same id counts.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -45,6 +45,12 @@
                        [](const task* assigned) { return assigned->spec().long_running; });
 }
 
+bool run_long_running_task(const std::vector<worker_handle*>& workers)
+{
+    return std::any_of(workers.begin(), workers.end(),
+                       [](const worker_handle* handle) { return runs_long_running_task(*handle); });
+}
+
 } // namespace
 
 capacity_manager::capacity_manager(net::timer_service& timers, vm_port& vms,
@@ -175,8 +181,7 @@
         const auto& present = by_pool[service.name];
         state.vms = static_cast<int>(present.vms.size()) + present.arriving;
         for (const auto* const vm : present.vms) {
-            const auto* const handle = directory_.worker_on_vm(vm->vm);
-            state.pinned_vms += handle != nullptr && runs_long_running_task(*handle) ? 1 : 0;
+            state.pinned_vms += run_long_running_task(directory_.workers_on_vm(vm->vm)) ? 1 : 0;
         }
         // A VM that arrives stays at least until its pool has had a surplus for a while.
         const auto lead_time = move_time_ + first_start_delay;
@@ -249,8 +254,8 @@
     const auto* const handle = directory_.worker_on_vm(vm.vm);
     return handle == nullptr || !handle->registered || handle->session->dead()
                ? directory_.has_no_tasks(vm.vm)
-               : (handle->session->contacted() && !runs_long_running_task(*handle) &&
-                  !handle->info().draining);
+               : (handle->session->contacted() && !handle->info().draining &&
+                  !run_long_running_task(directory_.workers_on_vm(vm.vm)));
 }
 
 // Returns the VMs of the pool that can be moved, those with the fewest tasks first.
@@ -259,8 +264,7 @@
     std::vector<std::pair<std::size_t, std::string>> found;
     for (const auto& vm : directory_.vms()) {
         if (vm.pool == pool && movable(vm)) {
-            const auto* const handle = directory_.worker_on_vm(vm.vm);
-            found.emplace_back(handle == nullptr ? 0 : handle->assigned.size(), vm.vm);
+            found.emplace_back(directory_.count_tasks(vm.vm), vm.vm);
         }
     }
     std::sort(found.begin(), found.end());
--- a/src/jobs/crash_ledger.cpp
+++ b/src/jobs/crash_ledger.cpp
@@ -211,14 +211,15 @@
     });
 }
 
-void crash_ledger::worker_registered(const worker_registration& worker)
+void crash_ledger::successor_answered(const std::string& vm, const worker_incarnation& successor,
+                                      const std::function<bool(const std::string&)>& may_be_alive)
 {
-    if (unconfirmed_.empty() || worker.vm.empty()) {
+    if (unconfirmed_.empty() || vm.empty()) {
         return;
     }
-    settle_others(worker.id, true, [&](const task&, const crash_observation& observation) {
-        return observation.vm == worker.vm &&
-               observation.worker_started_at_ms < worker.started_at_ms;
+    settle_others(successor.worker, true, [&](const task&, const crash_observation& observation) {
+        return observation.vm == vm && observation.worker_started_at_ms < successor.started_at_ms &&
+               !may_be_alive(observation.worker);
     });
 }
 
--- a/src/jobs/crash_ledger.h
+++ b/src/jobs/crash_ledger.h
@@ -42,8 +42,10 @@
     // The leader has given up the `lost` tasks that were on the worker.
     void tasks_lost(const worker_identity& worker, const std::set<task*>& lost,
                     const decisions::worker_loss& loss, loss_cause cause);
-    // A new incarnation has registered: earlier ones on its VM have ended.
-    void worker_registered(const worker_registration& worker);
+    // A worker has answered that is registered on the VM: earlier ones there have ended, except
+    // those that may still answer.
+    void successor_answered(const std::string& vm, const worker_incarnation& successor,
+                            const std::function<bool(const std::string& worker)>& may_be_alive);
 
     // The VM is about to be ordered to move or into maintenance, which ends its worker. Whether it
     // had crashed before can no longer be told.
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -557,6 +557,33 @@
     EXPECT_NE(fleet.leader(), nullptr);
 }
 
+// Guards against an entry of another writer that hides the worker of a VM from a wave: the wave
+// stood still, or took the VM down under its tasks.
+TEST_F(fleet_changes, wave_maintains_a_vm_beside_an_entry_of_another_writer)
+{
+    fleet.workers.default_plan.duration = 3s;
+    add_vms(3, 0);
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    fleet.timers.run_for(500ms);
+    worker_registration foreign;
+    foreign.id = "other-writer";
+    foreign.service = "rounds";
+    foreign.address = {"10.9.9.9", 9};
+    foreign.vm = "m0";
+    foreign.capacity = {64000, 131072, 0};
+    foreign.started_at_ms = 1000;
+    fleet.list_worker(foreign);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 3, 40)), submit_outcome::accepted);
+    fleet.timers.run_for(1s);
+    fleet.request_wave(wave_of(3, 1));
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 40s));
+    fleet.timers.run_for(20s);
+    expect_wave_completed(3);
+    EXPECT_EQ(fleet.vms.interrupted_tasks(), 0);
+    EXPECT_TRUE(fleet.workers.violations().empty());
+}
+
 // Demand rises within two seconds, stays for a while and falls again. VMs arrive from the standby
 // pool in time and return to it, with few repeated moves of one VM.
 TEST_F(fleet_changes, pool_size_follows_the_demand_of_a_queue)
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -76,8 +76,9 @@
 bool task_runner::worker_registered(const worker_registration& info, registration_source source)
 {
     const bool changed = apply_registration(info, source);
-    if (source == registration_source::renewal) {
-        worker_handles_.at(info.id).renewed_at = timers_.now();
+    auto& handle = worker_handles_.at(info.id);
+    if (source == registration_source::renewal && handle.info().capacity == info.capacity) {
+        handle.renewed_at = timers_.now();
     }
     return changed;
 }
@@ -85,27 +86,31 @@
 bool task_runner::apply_registration(const worker_registration& info, registration_source source)
 {
     const auto found = worker_handles_.find(info.id);
-    const bool newer_incarnation = found != worker_handles_.end() &&
-                                   info.started_at_ms > found->second.session->started_at_ms();
-    const bool moved =
-        found != worker_handles_.end() && !(found->second.info().address == info.address);
-    if (newer_incarnation && (moved || found->second.session->dead())) {
-        on_lost(*found->second.session, loss_cause::replaced);
+    if (found != worker_handles_.end()) {
+        if (!needs_new_session(found->second, info, source)) {
+            return update_worker(found->second, info);
+        }
         erase_worker(found);
     }
-    else if (found != worker_handles_.end()) {
-        return update_worker(found->second, info);
-    }
     add_worker(info, source);
     stop_open_starts(worker_handles_.at(info.id));
-    end_earlier_incarnations(info);
-    if (source != registration_source::roster) {
-        crashes_.worker_registered(info);
-    }
     listener_.on_workers_changed();
     return true;
 }
 
+// A session that has ended, or at whose address the worker has never answered, knows nothing of the
+// worker that is worth keeping.
+bool task_runner::needs_new_session(const worker_handle& handle, const worker_registration& info,
+                                    registration_source source)
+{
+    const auto& session = *handle.session;
+    if (session.dead()) {
+        return info.started_at_ms > session.started_at_ms() ||
+               source == registration_source::renewal;
+    }
+    return !session.proven() && !(handle.info().address == info.address);
+}
+
 // Workers renew their registration every second or two, mostly without a change.
 bool task_runner::update_worker(worker_handle& handle, const worker_registration& info)
 {
@@ -115,15 +120,27 @@
     if (!changed_registration) {
         return false;
     }
-    if (handle.info().vm != info.vm) {
-        remove_from_vm_index(handle.info());
-        workers_by_vm_[info.vm].push_back(info.id);
-    }
     handle.session->update(info);
+    update_vm_index(handle);
+    if (!(handle.info().address == info.address)) {
+        check_address(handle, info.address);
+    }
     listener_.on_workers_changed();
     return true;
 }
 
+// The worker may have restarted at another address, or another writer has left the registration.
+void task_runner::check_address(worker_handle& handle, const endpoint& address)
+{
+    const auto& worker = handle.info().id;
+    handle.session->check_presence([this, worker, address] {
+        auto& absent = *find_worker(worker)->session;
+        log_event(log_level::info, "worker.address_changed",
+                  {{"worker", worker}, {"address", address.to_string()}});
+        absent.reconnect(connector_.connect(address, worker), address);
+    });
+}
+
 void task_runner::add_worker(const worker_registration& info, registration_source source)
 {
     const bool loaded_from_roster = source == registration_source::roster;
@@ -137,48 +154,76 @@
     handle.session = std::make_unique<worker_session>(
         timers_, static_cast<session_listener&>(*this), connector_.connect(info.address, info.id),
         info, settings_.token, session_settings);
+    handle.indexed_vm = info.vm;
     workers_by_vm_[info.vm].push_back(info.id);
 }
 
 std::map<std::string, worker_handle>::iterator
 task_runner::erase_worker(std::map<std::string, worker_handle>::iterator handle)
 {
-    remove_from_vm_index(handle->second.info());
+    remove_from_vm_index(handle->second);
     return worker_handles_.erase(handle);
 }
 
-void task_runner::remove_from_vm_index(const worker_registration& info)
+void task_runner::remove_from_vm_index(const worker_handle& handle)
 {
-    const auto workers = workers_by_vm_.find(info.vm);
+    const auto workers = workers_by_vm_.find(handle.indexed_vm);
     if (workers == workers_by_vm_.end()) {
         return;
     }
     auto& names = workers->second;
-    names.erase(std::remove(names.begin(), names.end(), info.id), names.end());
+    names.erase(std::remove(names.begin(), names.end(), handle.info().id), names.end());
     if (names.empty()) {
         workers_by_vm_.erase(workers);
     }
 }
 
-// A VM has one worker at a time, so the registration of a new worker implies that the earlier ones
-// have ended.
-void task_runner::end_earlier_incarnations(const worker_registration& info)
+void task_runner::update_vm_index(worker_handle& handle)
+{
+    const auto& info = handle.info();
+    if (handle.indexed_vm != info.vm) {
+        remove_from_vm_index(handle);
+        handle.indexed_vm = info.vm;
+        workers_by_vm_[info.vm].push_back(info.id);
+    }
+}
+
+// A VM has one worker at a time, so the earlier ones on the VM of a worker that has answered have
+// ended. The VM is known from registrations alone, which may be another writer's, so an earlier
+// worker is asked: one that still answers has not been replaced.
+void task_runner::check_earlier_workers(worker_handle& handle)
 {
-    for (auto* const other : workers_on_vm(info.vm)) {
+    const worker_incarnation successor{handle.info().id, handle.session->started_at_ms()};
+    const bool checked = handle.checked_vm == handle.info().vm &&
+                         handle.checked_incarnation == successor.started_at_ms;
+    if (checked) {
+        return;
+    }
+    handle.checked_vm = handle.info().vm;
+    handle.checked_incarnation = successor.started_at_ms;
+    for (auto* const other : workers_on_vm(handle.checked_vm)) {
         const auto started_at_ms = other->session->started_at_ms();
-        if (other->info().id != info.id && started_at_ms != 0 &&
-            started_at_ms < info.started_at_ms && !other->session->dead()) {
-            other->session->end(loss_cause::replaced);
+        if (other != &handle && started_at_ms != 0 && started_at_ms < successor.started_at_ms) {
+            end_if_absent(*other, loss_cause::replaced);
         }
     }
+    crashes_.successor_answered(handle.checked_vm, successor, [this](const std::string& worker) {
+        const auto* const earlier = find_worker(worker);
+        return earlier != nullptr && !earlier->session->dead();
+    });
+}
+
+void task_runner::end_if_absent(worker_handle& handle, loss_cause cause)
+{
+    handle.session->check_presence(
+        [this, worker = handle.info().id, cause] { find_worker(worker)->session->end(cause); });
 }
 
 void task_runner::end_incarnation(const worker_incarnation& life)
 {
     auto* const handle = find_worker(life.worker);
-    if (handle != nullptr && handle->session->started_at_ms() == life.started_at_ms &&
-        !handle->session->dead()) {
-        handle->session->end(loss_cause::powered_off);
+    if (handle != nullptr && handle->session->started_at_ms() == life.started_at_ms) {
+        end_if_absent(*handle, loss_cause::powered_off);
     }
 }
 
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -66,7 +66,11 @@
     std::optional<net::boot_time> unregistered_since;
     net::boot_time last_start_at{}; // when the last start was sent to it
     net::boot_time renewed_at{};    // when its last renewal was read, which states its capacity
-    net::boot_time restarted_at{};  // when its last restart under the same id was learned of
+    net::boot_time restarted_at{};  // when its last restart under the same id was suspected or seen
+    std::string indexed_vm;         // the VM under which it is found
+    // The VM and the incarnation for which earlier workers on the VM have been asked.
+    std::string checked_vm;
+    std::int64_t checked_incarnation = 0;
 
     // Runs on the worker that belong to no task in `assigned`. They are being stopped and occupy
     // the worker until a report shows that they have ended.
@@ -121,7 +125,7 @@
     // Adds the worker or updates it from its new registration. Returns true if anything changed.
     bool worker_registered(const worker_registration& info, registration_source source);
     void worker_unregistered(const std::string& worker);
-    // The worker's VM was powered off, which ended this incarnation of the worker.
+    // The worker's VM was powered off, which ends this incarnation of the worker unless it answers.
     void end_incarnation(const worker_incarnation& life);
     // All registrations have been read: the workers without one are not registered.
     void registrations_listed();
@@ -151,7 +155,8 @@
     crash_ledger& crashes() { return crashes_; }
     std::map<std::string, worker_handle>& worker_handles() { return worker_handles_; }
     worker_handle* find_worker(const std::string& worker);
-    // All known workers of a VM, also former ones. At most one of them is alive.
+    // All workers that are registered on a VM, also former ones and those of other writers. At most
+    // one of them runs there.
     std::vector<worker_handle*> workers_on_vm(const std::string& vm);
     // Services with workers on which unknown tasks of a previous leader may still run.
     std::set<std::string> unresolved_services() const;
@@ -167,7 +172,7 @@
     void on_unreachable(worker_session& session) override;
     void on_restarted(worker_session& session, const worker_incarnation& former,
                       incarnation_source source) override;
-    void on_new_clock(worker_session& session) override;
+    void on_restart_suspected(worker_session& session) override;
     void on_lost(worker_session& session, loss_cause cause) override;
     void on_fenced(worker_session& session) override;
     bool in_use(const worker_session& session) const override;
@@ -177,8 +182,15 @@
     bool update_worker(worker_handle& handle, const worker_registration& info);
     std::map<std::string, worker_handle>::iterator
     erase_worker(std::map<std::string, worker_handle>::iterator handle);
-    void remove_from_vm_index(const worker_registration& info);
-    void end_earlier_incarnations(const worker_registration& info);
+    void remove_from_vm_index(const worker_handle& handle);
+    void update_vm_index(worker_handle& handle);
+    static bool needs_new_session(const worker_handle& handle, const worker_registration& info,
+                                  registration_source source);
+    // Follows the worker to this address if it does not answer at the present one.
+    void check_address(worker_handle& handle, const endpoint& address);
+    // Ends the earlier workers on the VM of a worker that has answered, unless they answer as well.
+    void check_earlier_workers(worker_handle& handle);
+    void end_if_absent(worker_handle& handle, loss_cause cause);
     void isolate(task& target, const worker_handle& handle);
     void send_start(const task_name& name, std::int64_t run, const std::string& worker);
     void on_started(const task_name& name, std::int64_t run, const std::string& worker,
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -72,6 +72,7 @@
         services_with_unseen_losses_.insert(handle->info().service);
     }
     handle->restarted_at = timers_.now();
+    update_vm_index(*handle);
     listener_.on_worker_restarted(*handle);
     std::set<task*> lost;
     for (auto* const target : handle->assigned) {
@@ -106,16 +107,12 @@
     }
 }
 
-void task_runner::on_new_clock(worker_session& session)
+void task_runner::on_restart_suspected(worker_session& session)
 {
-    auto* const handle = find_worker(session.info().id);
-    if (handle == nullptr) {
-        return;
+    if (auto* const handle = find_worker(session.info().id)) {
+        handle->restarted_at = timers_.now();
+        listener_.on_worker_restarted(*handle);
     }
-    log_event(log_level::info, "worker.new_clock",
-              {{"worker", session.info().id},
-               {"known_incarnation", std::to_string(session.started_at_ms())}});
-    listener_.on_worker_restarted(*handle);
 }
 
 // The former incarnation has certainly ended what it has reported. All other starts may have
@@ -263,6 +260,7 @@
         })) {
         session.request_report(); // this one was requested before the last order was answered
     }
+    check_earlier_workers(*handle);
     listener_.on_worker_report(*handle);
     if (!report.ended.empty() || handle->loaded_from_roster) {
         listener_.on_workers_changed();
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -72,9 +72,11 @@
 worker_handle* vm_directory::worker_on_vm(const std::string& vm)
 {
     worker_handle* latest = nullptr;
-    for (auto* const handle : runner_.workers_on_vm(vm)) {
-        if (handle->registered && !handle->session->dead() &&
-            (latest == nullptr || handle->info().started_at_ms > latest->info().started_at_ms)) {
+    for (auto* const handle : workers_on_vm(vm)) {
+        // A registration alone may be another writer's.
+        if (handle->registered && handle->session->proven() &&
+            (latest == nullptr ||
+             handle->session->started_at_ms() > latest->session->started_at_ms())) {
             latest = handle;
         }
     }
@@ -86,6 +88,25 @@
                                                        : runner_.find_worker(listed->worker);
 }
 
+std::vector<worker_handle*> vm_directory::workers_on_vm(const std::string& vm)
+{
+    auto workers = runner_.workers_on_vm(vm);
+    workers.erase(
+        std::remove_if(workers.begin(), workers.end(),
+                       [](const worker_handle* handle) { return handle->session->dead(); }),
+        workers.end());
+    return workers;
+}
+
+std::size_t vm_directory::count_tasks(const std::string& vm)
+{
+    std::size_t tasks = 0;
+    for (const auto* const handle : workers_on_vm(vm)) {
+        tasks += handle->assigned.size();
+    }
+    return tasks;
+}
+
 worker_incarnation vm_directory::incarnation_on_vm(const std::string& vm)
 {
     const auto* const handle = worker_on_vm(vm);
@@ -103,7 +124,9 @@
     for (const auto* const handle : runner_.workers_on_vm(vm)) {
         // A worker whose registration has expired may still run tasks. Ends that are not durable
         // yet would be lost with the worker, and their tasks would run again.
-        if (!handle->assigned.empty() ||
+        const bool may_run_tasks_of_previous_leader =
+            handle->loaded_from_roster && !handle->session->resolved();
+        if (!handle->assigned.empty() || may_run_tasks_of_previous_leader ||
             (!handle->unacknowledged_ends.empty() && !handle->session->dead())) {
             return false;
         }
--- a/src/jobs/vm_directory.h
+++ b/src/jobs/vm_directory.h
@@ -34,9 +34,14 @@
     // `known_since` is when the caller learned of the VM: one that was just added may not be listed
     // yet.
     bool left_fleet(const std::string& vm, net::boot_time known_since) const;
-    // The worker on a VM, or null if none is known. The worker with the latest registration takes
-    // precedence over the worker in the list of VMs, because the list lags.
+    // The worker on a VM, or null if none is known. Of the registered workers that have answered,
+    // the one that started last takes precedence over the worker in the list of VMs, because the
+    // list lags.
     worker_handle* worker_on_vm(const std::string& vm);
+    // All workers that are registered on the VM and may run.
+    std::vector<worker_handle*> workers_on_vm(const std::string& vm);
+    // The number of tasks on these workers.
+    std::size_t count_tasks(const std::string& vm);
     // The current incarnation of that worker.
     worker_incarnation incarnation_on_vm(const std::string& vm);
     // True if certainly no task runs on the VM. The list alone does not tell: after a restart of
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -168,8 +168,7 @@
             reservations_.reserved(name)) {
             continue; // a VM that is being moved is maintained after its move
         }
-        auto* const handle = directory_.worker_on_vm(name);
-        candidates.emplace_back(handle == nullptr ? 0 : handle->assigned.size(), name);
+        candidates.emplace_back(directory_.count_tasks(name), name);
     }
     std::sort(candidates.begin(), candidates.end());
     const int free_places = wave.request.max_concurrent - in_progress;
@@ -186,7 +185,7 @@
         if (vm.phase != wave_phase::draining) {
             continue;
         }
-        if (auto* const handle = directory_.worker_on_vm(name)) {
+        for (auto* const handle : directory_.workers_on_vm(name)) {
             drain_worker(*handle, vm.draining_since);
         }
     }
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -33,6 +33,11 @@
 // A hold that fails between this time and its timeout was waiting on the worker, whose connection
 // then broke. One that fails sooner may have found the worker gone.
 constexpr auto min_broken_wait = 50ms;
+// A worker that is asked for its presence is taken for absent after this many requests in a row
+// without an answer. A single answer may be lost.
+constexpr int requests_before_absence = 2;
+// Orders on a former port are answered or time out before the address changes so many times.
+constexpr std::size_t max_former_ports = 4;
 // A worker that was suspended may still act on a lease that has just expired.
 constexpr auto expiry_margin = 400ms;
 
@@ -45,8 +50,8 @@
 
 // True if the answer does not name its incarnation, and the worker has restarted since the order
 // was sent.
-bool may_be_of_former_incarnation(const order_result& result, std::int64_t incarnation_when_sent,
-                                  std::int64_t present_incarnation)
+bool may_precede_restart(const order_result& result, std::int64_t incarnation_when_sent,
+                         std::int64_t present_incarnation)
 {
     const bool reached_worker = result.status != order_status::not_sent;
     return reached_worker && result.started_at_ms == 0 &&
@@ -73,12 +78,10 @@
 const char* to_string(incarnation_source source)
 {
     switch (source) {
-    case incarnation_source::registration:
-        return "registration";
     case incarnation_source::report:
         return "report";
-    case incarnation_source::answer:
-        return "answer";
+    case incarnation_source::order:
+        return "order";
     }
     return "unknown";
 }
@@ -95,6 +98,7 @@
       answer_timer_(answer_wait),
       hold_poll_(hold_wait),
       born_(info_.started_at_ms),
+      answered_at_address_(proven()),
       lease_bound_(timers.now() + on_local_clock(settings_.previous_leader_lease) + expiry_margin)
 {
     check_lease_expiry();
@@ -110,16 +114,97 @@
 
 void worker_session::update(const worker_registration& info)
 {
-    const auto started_at_ms = born_;
+    const bool same_incarnation =
+        info.started_at_ms == 0 || born_ == 0 || info.started_at_ms == born_;
+    if (same_incarnation || !proven()) {
+        take_over(info);
+        return;
+    }
+    if (hint_ && hint_->info.started_at_ms == info.started_at_ms) {
+        hint_->info = info;
+    }
+    else if (info.started_at_ms > born_) {
+        note_hint(info);
+    }
+}
+
+void worker_session::take_over(const worker_registration& info)
+{
+    const auto address = info_.address;
     info_ = info;
-    if (info.started_at_ms > started_at_ms && started_at_ms != 0) {
-        const auto alive = alive_;
-        record_result(order_result{order_status::accepted, std::nullopt, info.started_at_ms},
-                      incarnation_source::registration);
-        if (*alive) {
-            request_report(); // carries the fencing token, which the new incarnation does not know
-        }
+    info_.address = address;
+    if (info.started_at_ms != 0) {
+        born_ = info.started_at_ms;
+    }
+}
+
+// Another writer may have left the registration. If it is the worker's, an order to the known
+// incarnation may reach the next one, and the clock that we know is not the present one.
+void worker_session::note_hint(const worker_registration& info)
+{
+    log_event(log_level::info, "worker.restart_registered",
+              {{"worker", info_.id},
+               {"known_incarnation", std::to_string(born_)},
+               {"registered_incarnation", std::to_string(info.started_at_ms)}});
+    hint_ = incarnation_hint{info, timers_.now()};
+    worker_clock_.reset();
+    count_leases_across_restart();
+    const auto alive = alive_;
+    listener_.on_restart_suspected(*this);
+    if (*alive) {
+        request_report(); // carries the fencing token, which a new incarnation does not know
+    }
+}
+
+void worker_session::drop_refuted_hint(net::boot_time requested_at)
+{
+    if (!hint_ || requested_at <= hint_->read_at || hint_->info.started_at_ms <= born_) {
+        return;
+    }
+    log_event(log_level::warning, "worker.restart_refuted",
+              {{"worker", info_.id},
+               {"incarnation", std::to_string(born_)},
+               {"registered_incarnation", std::to_string(hint_->info.started_at_ms)}});
+    hint_.reset();
+}
+
+void worker_session::check_presence(std::function<void()> absent)
+{
+    if (dead_) {
+        return;
+    }
+    presence_check_ = presence_check{timers_.now(), 0, std::move(absent)};
+    request_report();
+}
+
+void worker_session::note_presence(net::boot_time requested_at)
+{
+    if (presence_check_ && requested_at > presence_check_->begun_at) {
+        presence_check_.reset();
+    }
+}
+
+void worker_session::note_absence(net::boot_time requested_at)
+{
+    if (!presence_check_ || requested_at <= presence_check_->begun_at) {
+        return;
+    }
+    if (++presence_check_->unanswered >= requests_before_absence) {
+        const auto absent = std::move(presence_check_->absent);
+        presence_check_.reset();
+        absent();
+    }
+}
+
+void worker_session::reconnect(std::unique_ptr<worker_port> port, const endpoint& address)
+{
+    former_ports_.push_back(std::exchange(port_, std::move(port)));
+    if (former_ports_.size() > max_former_ports) {
+        former_ports_.pop_front();
     }
+    info_.address = address;
+    answered_at_address_ = false;
+    request_report();
 }
 
 bool worker_session::resolved() const
@@ -248,7 +333,7 @@
     if (dead_) {
         return; // an answer of an incarnation that has ended
     }
-    if (of_former_incarnation(report.result)) {
+    if (may_be_of_former_incarnation(report.result, requested_at)) {
         schedule_hold(0ms); // its ends and runs are numbered apart from those of the present one
         return;
     }
@@ -260,19 +345,15 @@
         listener_.on_fenced(*this);
         return;
     case order_status::other_worker:
-        end(loss_cause::replaced);
-        return;
-    default: {
-        const auto waited = timers_.now() - requested_at;
-        record_broken_connection(requested_at, timeout);
-        record_failure(to_string(report.result.status),
-                       waited >= min_broken_wait && waited < timeout);
-        if (*alive && !dead_) {
-            schedule_hold(failed_holds_ == 1 ? first_retry_delay : retry_delay);
+        if (!proven() || answered_at_address_) {
+            end(loss_cause::replaced);
+            return;
         }
+        [[fallthrough]]; // the worker is not at an address that only a registration states
+    default:
+        on_failed_hold(report.result, requested_at, timeout);
         return;
     }
-    }
     if (failed_holds_ > 0) {
         log_event(log_level::info, "worker.regained",
                   {{"worker", info_.id}, {"failed_calls", std::to_string(failed_holds_)}});
@@ -282,7 +363,10 @@
     if (!*alive) {
         return;
     }
+    note_presence(requested_at);
+    drop_refuted_hint(requested_at);
     contacted_ = true;
+    answered_at_address_ = true;
     has_more_ends_ = report.has_more_ends;
     listener_.on_report(*this, report, requested_at);
     if (!*alive || dead_) {
@@ -300,6 +384,31 @@
     }
 }
 
+void worker_session::on_failed_hold(const order_result& result, net::boot_time requested_at,
+                                    milliseconds timeout)
+{
+    const auto alive = alive_;
+    const auto waited = timers_.now() - requested_at;
+    record_broken_connection(requested_at, timeout);
+    record_failure(to_string(result.status), waited >= min_broken_wait && waited < timeout);
+    if (!*alive) {
+        return;
+    }
+    const bool answered = result.status != order_status::unanswered &&
+                          result.status != order_status::not_sent &&
+                          result.status != order_status::other_worker;
+    if (answered) {
+        note_presence(requested_at);
+    }
+    else {
+        note_absence(requested_at);
+    }
+    if (*alive && !dead_) {
+        const bool ask_at_once = failed_holds_ == 1 || presence_check_;
+        schedule_hold(ask_at_once ? first_retry_delay : retry_delay);
+    }
+}
+
 void worker_session::acknowledge(std::int64_t number)
 {
     acknowledged_ = std::max(acknowledged_, number);
@@ -313,7 +422,17 @@
 bool worker_session::of_former_incarnation(const order_result& result) const
 {
     return result.status != order_status::other_worker && result.started_at_ms != 0 &&
-           result.started_at_ms < born_;
+           result.started_at_ms < born_ && incarnation_answered_;
+}
+
+bool worker_session::may_be_of_former_incarnation(const order_result& result,
+                                                  net::boot_time sent_at) const
+{
+    const bool reached_worker =
+        result.status != order_status::not_sent && result.status != order_status::unanswered;
+    const bool may_precede_hint = hint_ && reached_worker && sent_at <= hint_->read_at &&
+                                  result.started_at_ms < hint_->info.started_at_ms;
+    return of_former_incarnation(result) || may_precede_hint;
 }
 
 void worker_session::record_result(const order_result& result, incarnation_source source)
@@ -321,22 +440,16 @@
     if (result.status == order_status::other_worker || of_former_incarnation(result)) {
         return;
     }
-    if (result.started_at_ms != 0 && born_ != 0 && result.started_at_ms != born_) {
-        const worker_incarnation former{info_.id, born_};
-        born_ = result.started_at_ms;
-        worker_clock_.reset();
-        acknowledged_ = 0;
-        last_reported_end_ = 0;
-        has_more_ends_ = false;
-        count_leases_across_restart();
-        const auto alive = alive_;
-        listener_.on_restarted(*this, former, source);
+    const auto alive = alive_;
+    if (result.started_at_ms > born_ && born_ != 0) {
+        on_new_incarnation(result.started_at_ms, source);
         if (!*alive) {
             return;
         }
     }
     if (result.started_at_ms != 0) {
-        born_ = result.started_at_ms;
+        born_ = result.started_at_ms; // lower than a time that only a registration has stated
+        incarnation_answered_ = true;
     }
     if (result.status != order_status::unanswered && result.status != order_status::not_sent &&
         result.status != order_status::other_worker) {
@@ -344,11 +457,12 @@
         ended_by_.reset();
     }
     if (is_new_clock(result)) {
+        log_event(log_level::info, "worker.new_clock",
+                  {{"worker", info_.id}, {"known_incarnation", std::to_string(born_)}});
         worker_clock_.reset();
         raise_longest_lease_bound(timers_.now());
         request_report();
-        const auto alive = alive_;
-        listener_.on_new_clock(*this);
+        listener_.on_restart_suspected(*this);
         if (!*alive) {
             return;
         }
@@ -359,6 +473,26 @@
     }
 }
 
+void worker_session::on_new_incarnation(std::int64_t started_at_ms, incarnation_source source)
+{
+    const worker_incarnation former{info_.id, born_};
+    born_ = started_at_ms;
+    incarnation_answered_ = true;
+    worker_clock_.reset();
+    acknowledged_ = 0;
+    last_reported_end_ = 0;
+    has_more_ends_ = false;
+    if (hint_ && hint_->info.started_at_ms <= born_) {
+        const auto registered = std::move(hint_->info);
+        hint_.reset();
+        if (registered.started_at_ms == born_) {
+            take_over(registered);
+        }
+    }
+    count_leases_across_restart();
+    listener_.on_restarted(*this, former, source);
+}
+
 bool worker_session::is_new_clock(const order_result& result) const
 {
     if (!result.worker_clock || !worker_clock_ || result.started_at_ms != 0) {
@@ -434,12 +568,12 @@
         if (result.status == order_status::unanswered) {
             record_broken_connection(sent_at, timeout);
         }
-        if (of_former_incarnation(result) ||
-            may_be_of_former_incarnation(result, incarnation_when_sent, born_)) {
+        if (may_be_of_former_incarnation(result, sent_at) ||
+            may_precede_restart(result, incarnation_when_sent, born_)) {
             done(order_result{}); // it says nothing about the present incarnation
             return;
         }
-        record_result(result, incarnation_source::answer);
+        record_result(result, incarnation_source::order);
         if (*alive) {
             done(result);
         }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -38,8 +38,8 @@
 };
 const char* to_string(loss_cause cause);
 
-// What named the incarnation of a worker that has restarted under its id.
-enum class incarnation_source { registration, report, answer };
+// Which answer named the incarnation of a worker that has restarted under its id.
+enum class incarnation_source { report, order };
 const char* to_string(incarnation_source source);
 
 // Receives the events of worker sessions.
@@ -55,9 +55,9 @@
     // no more. Other orders may have reached the new incarnation, or may still do so.
     virtual void on_restarted(worker_session& session, const worker_incarnation& former,
                               incarnation_source source) = 0;
-    // An answer without an incarnation has a clock that has started anew, so the worker has
-    // restarted and may have the longest lease. Its next report tells more.
-    virtual void on_new_clock(worker_session& session) = 0;
+    // The worker seems to have restarted, by its registration or by a clock that has started anew,
+    // and may have the longest lease. Its next report tells more.
+    virtual void on_restart_suspected(worker_session& session) = 0;
     // No task that was started on the worker until now runs any more.
     virtual void on_lost(worker_session& session, loss_cause cause) = 0;
     // The worker refused a request because it has seen the fencing token of a newer leader.
@@ -84,10 +84,19 @@
     worker_session(const worker_session&) = delete;
     worker_session& operator=(const worker_session&) = delete;
 
+    // The registration of the incarnation that the session is with. Its address is the one that the
+    // session uses.
     const worker_registration& info() const { return info_; }
-    // Updates the session from the worker's new registration, which has the same address.
+    // Takes over a registration of the worker. One of a later incarnation is a hint only: it counts
+    // once an answer names that incarnation.
     void update(const worker_registration& info);
 
+    // Asks the worker for reports and calls `absent` if it leaves two in a row unanswered. An
+    // answer to a request that was sent after this call ends the check.
+    void check_presence(std::function<void()> absent);
+    // Sends all requests from now on through this port, which leads to another address.
+    void reconnect(std::unique_ptr<worker_port> port, const endpoint& address);
+
     // Requests a report without a wait. Sent once the hold in flight, if any, has been answered.
     void request_report();
     // Lets the next hold wait for this time at the most.
@@ -101,6 +110,9 @@
     // True once the worker has answered this leader, after which it refuses orders of previous
     // ones.
     bool contacted() const { return contacted_; }
+    // True if the worker has answered this leader or a previous one. A registration alone may come
+    // from another writer.
+    bool proven() const { return contacted_ || settings_.previous_leader_lease > milliseconds(0); }
     // True once the worker has listed all ends that it keeps. Until then, a task that it does not
     // report may have ended there.
     bool all_ends_read() const { return contacted_ && !has_more_ends_; }
@@ -140,12 +152,35 @@
     bool dead() const { return dead_; }
 
 private:
+    // A registration of a later incarnation, which has not answered itself.
+    struct incarnation_hint {
+        worker_registration info;
+        net::boot_time read_at{};
+    };
+    struct presence_check {
+        net::boot_time begun_at{};
+        int unanswered = 0; // requests since then
+        std::function<void()> absent;
+    };
+
+    void take_over(const worker_registration& info);
+    void note_hint(const worker_registration& info);
+    // The worker has answered a request that was sent at this time.
+    void note_presence(net::boot_time requested_at);
+    void note_absence(net::boot_time requested_at);
+    // The present incarnation has answered a request that was sent at this time.
+    void drop_refuted_hint(net::boot_time requested_at);
+    // The worker has restarted, as its answer tells.
+    void on_new_incarnation(std::int64_t started_at_ms, incarnation_source source);
     void send_hold();
     void on_hold(const hold_report& report, net::boot_time requested_at, milliseconds timeout);
+    void on_failed_hold(const order_result& result, net::boot_time requested_at,
+                        milliseconds timeout);
     void schedule_hold(std::chrono::nanoseconds delay);
     void record_result(const order_result& result, incarnation_source source);
-    // True if an earlier incarnation of the worker has sent the answer.
+    // True if an earlier incarnation of the worker has sent the answer, or may have sent it.
     bool of_former_incarnation(const order_result& result) const;
+    bool may_be_of_former_incarnation(const order_result& result, net::boot_time sent_at) const;
     std::function<void(const order_result&)>
     with_result_recorded(std::function<void(const order_result&)> done);
     // Adds the outcome of a call that the worker answers at once.
@@ -177,7 +212,14 @@
 
     decisions::retransmission_timer answer_timer_;
     decisions::long_poll hold_poll_;
+    // Start time of the present incarnation: from the registration or the roster until an answer
+    // has named it.
     std::int64_t born_ = 0;
+    bool incarnation_answered_ = false;
+    bool answered_at_address_ = false; // since the session uses the present address
+    std::optional<incarnation_hint> hint_;
+    std::optional<presence_check> presence_check_;
+    std::deque<std::unique_ptr<worker_port>> former_ports_; // with orders in flight
     std::optional<milliseconds> worker_clock_; // the worker's clock at `worker_clock_read_at_`
     net::boot_time worker_clock_read_at_{};
     net::boot_time lease_bound_;
