A new leader uses powered-off VMs though their former workers are in the roster

The roster still names the former worker of a VM that was powered off within the last seconds, and its session is unresolved until its lease is over, so a new leader left such VMs off for up to 6.5 s. A VM that the list shows in a standby pool is off, as before; only a registered worker there counts.

--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -557,6 +557,27 @@
     EXPECT_NE(fleet.leader(), nullptr);
 }
 
+// Guards against powered-off VMs that cannot be used until the leases of their former workers are
+// over, because the next leader finds these workers in the roster.
+TEST_F(fleet_changes, new_leader_uses_vms_that_were_just_powered_off)
+{
+    fleet.workers.default_plan.duration = 30s;
+    add_vms(6, 0);
+    ASSERT_TRUE(fleet.start_leader_and_standby());
+    for (int step = 0; step < 100 && fleet.vms.vms_in("rounds") > 2; ++step) {
+        fleet.timers.run_for(100ms);
+    }
+    ASSERT_EQ(fleet.vms.vms_in("rounds"), 2);
+    fleet.nodes.at("a")->election().resign();
+    fleet.timers.run_for(20ms);
+    fleet.kill("a");
+    ASSERT_TRUE(fleet.await_leader());
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 60)), submit_outcome::accepted);
+    fleet.timers.run_for(3600ms); // the orders of the first leader are over
+    EXPECT_GE(fleet.vms.vms_in("rounds"), 3);
+    EXPECT_TRUE(fleet.workers.violations().empty());
+}
+
 // Guards against an entry of another writer that hides the worker of a VM from a wave: the wave
 // stood still, or took the VM down under its tasks.
 TEST_F(fleet_changes, wave_maintains_a_vm_beside_an_entry_of_another_writer)
--- a/src/jobs/vm_directory.cpp
+++ b/src/jobs/vm_directory.cpp
@@ -124,8 +124,10 @@
     for (const auto* const handle : runner_.workers_on_vm(vm)) {
         // A worker whose registration has expired may still run tasks. Ends that are not durable
         // yet would be lost with the worker, and their tasks would run again.
+        // The VMs of a standby pool are off: their former workers run nothing any more.
         const bool may_run_tasks_of_previous_leader =
-            handle->loaded_from_roster && !handle->session->resolved();
+            handle->loaded_from_roster && !handle->session->resolved() &&
+            (handle->registered || !in_standby_pool(*listed));
         if (!handle->assigned.empty() || may_run_tasks_of_previous_leader ||
             (!handle->unacknowledged_ends.empty() && !handle->session->dead())) {
             return false;
