Waves count the VMs that a former leader has ordered

Cause: a wave counts what this leader has ordered and what the list of VMs shows, but the list lags, and what the former leader ordered is nowhere: jl/vm-orders names its VMs, but neither their purpose nor their outcome, and only keeps the same VM from being ordered.

Now the wave's progress record names each VM before its order is sent (an order waits until that record is stored), and those whose order was accepted. The next leader keeps the places of these VMs. An accepted order has been executed, so its VM is finished once the list has shown it down and up, or was read 3.5 s after the election and shows it up. Any other order is sent again, once the 3.3 s are over that keep orders of two leaders apart; its answer holds for all attempts, so the time at which an earlier attempt is carried out does not matter. So neither bound is counted from the former leader's clock. If the VM can't be ordered again, its place is free 23.5 s after the election: no order has an effect after 20 s, and the list no longer lags. The same wait holds for a record that does not tell what was ordered. A VM that two waves share counts in both. (wave_record: the record's format, apart from the decisions.)

Ruled out: counting the VMs in jl/vm-orders. That log holds 3.3 s while the list may lag 3.5 s and an unanswered order 20 s; it holds moves too, and with VMs whose end was not recorded yet more than the allowed number, which would block each other.

Price: two more writes for each maintained VM; after a change of leaders up to 3.5 s, or 6.8 s and a drain if the order's answer was not recorded, until the place is free.

--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -63,7 +63,7 @@
             writer_->set_revision(item.key, item.revision);
             vm_orders_->load(item);
         }
-        else if (wave_manager_ && starts_with(item.key, wave_manager::record_prefix)) {
+        else if (wave_manager_ && starts_with(item.key, wave_record::prefix)) {
             wave_manager_->load(item);
         }
     }
--- a/src/jobs/wave_manager.cpp
+++ b/src/jobs/wave_manager.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
-#include "base/json.h"
 #include "base/log.h"
 #include "jobs/availability.h"
 
@@ -50,20 +47,9 @@
 void wave_manager::load(const store_item& item)
 {
     record_revisions_[item.key] = item.revision;
-    const auto document = parse_json_object(item.value);
-    if (!document) {
-        log_event(log_level::error, "wave.record_unreadable", {{"key", item.key}});
-        return;
-    }
-    const auto wave = document->find("wave");
-    if (wave == document->end() || !wave->is_number_integer()) {
-        return;
-    }
-    auto& finished = finished_by_previous_leaders_[wave->get<std::int64_t>()];
-    for (const auto& vm : list_or_empty(*document, "finished")) {
-        if (vm.is_string()) {
-            finished.push_back(vm.get<std::string>());
-        }
+    if (auto record = decode_wave_record(item)) {
+        const auto wave = record->wave;
+        records_[wave] = std::move(*record);
     }
 }
 
@@ -78,8 +64,12 @@
     for (const auto& vm : wave.vms) {
         progress.vms[vm];
     }
-    for (const auto& vm : finished_by_previous_leaders_[wave.wave]) {
-        progress.vms[vm].phase = wave_phase::finished;
+    const auto record = records_.find(wave.wave);
+    if (record != records_.end()) {
+        for (const auto& vm : record->second.finished) {
+            progress.vms[vm].phase = wave_phase::finished;
+        }
+        adopt_orders(progress, record->second);
     }
     log_event(log_level::info, "wave.requested",
               {{"wave", std::to_string(wave.wave)},
@@ -88,6 +78,58 @@
                {"duration_s", std::to_string(wave.duration.count())}});
 }
 
+// The list of VMs may not show yet what the orders of previous leaders have done, so their VMs keep
+// their places in the wave. An accepted order has been executed. Any other one is sent again, and
+// the answer, which holds for all attempts, settles it.
+void wave_manager::adopt_orders(wave_progress& wave, const wave_record& record)
+{
+    const auto now = timers_.now();
+    if (!record.orders_known) {
+        wave.orders_held_until = now + late_execution_limit + max_list_lag;
+    }
+    for (const auto& name : record.ordered) {
+        const auto found = wave.vms.find(name);
+        if (found == wave.vms.end() || found->second.phase == wave_phase::finished) {
+            continue;
+        }
+        const bool accepted = record.accepted.count(name) != 0;
+        auto& vm = found->second;
+        vm.may_be_ordered = true;
+        vm.draining_since = now;
+        reservations_.reserve(name, reservation_purpose::maintenance);
+        if (accepted) {
+            vm.phase = wave_phase::ordered;
+            vm.order.on_sent(now, {});
+            vm.order.on_answered(vm_order_status::accepted, now);
+            reservations_.confirm(name, reservation_purpose::maintenance, "");
+        }
+        else {
+            vm.phase = wave_phase::draining;
+            vm.ordered_by_previous_leader = true;
+        }
+        wave.recorded_orders.insert(name);
+        log_event(log_level::info, "wave.order_adopted",
+                  {{"wave", std::to_string(wave.request.wave)},
+                   {"vm", name},
+                   {"accepted", accepted ? "true" : "false"}});
+    }
+}
+
+void wave_manager::drop_expired_order(wave_progress& wave, const std::string& name, wave_vm& vm)
+{
+    const auto* const listed = directory_.find(name);
+    const auto last_effect = wave.known_since + late_execution_limit + max_list_lag;
+    if (!vm.ordered_by_previous_leader || vm.phase != wave_phase::draining || listed == nullptr ||
+        listed->state == vm_state::maintenance || directory_.listed_at() <= last_effect) {
+        return;
+    }
+    vm = {};
+    wave.status_written = false;
+    reservations_.release(name, reservation_purpose::maintenance);
+    log_event(log_level::info, "wave.order_expired",
+              {{"wave", std::to_string(wave.request.wave)}, {"vm", name}});
+}
+
 void wave_manager::step()
 {
     if (!directory_.loaded()) {
@@ -122,6 +164,7 @@
                 finish_vm(wave, name);
             }
         }
+        drop_expired_order(wave, name, vm);
         if (vm.phase != wave_phase::finished && directory_.left_fleet(name, wave.known_since)) {
             log_event(log_level::info, "wave.vm_gone",
                       {{"wave", std::to_string(wave.request.wave)}, {"vm", name}});
@@ -151,6 +194,7 @@
 void wave_manager::finish_vm(wave_progress& wave, const std::string& name)
 {
     wave.vms[name].phase = wave_phase::finished;
+    wave.vms[name].may_be_ordered = false;
     wave.status_written = false; // the progress record lists finished VMs
     reservations_.release(name, reservation_purpose::maintenance);
 }
@@ -212,32 +256,53 @@
     }
 }
 
+bool wave_manager::may_be_down(const std::string& name) const
+{
+    const auto* const listed = directory_.find(name);
+    if (listed != nullptr && listed->state == vm_state::maintenance) {
+        return true;
+    }
+    return std::any_of(waves_.begin(), waves_.end(), [&](const auto& entry) {
+        const auto vm = entry.second.vms.find(name);
+        return vm != entry.second.vms.end() && vm->second.may_be_ordered;
+    });
+}
+
+// An order is sent only after the stored record names its VM as ordered, so that the next leader
+// knows of it.
 void wave_manager::order_drained(wave_progress& wave)
 {
-    int down = 0;
-    for (const auto& [name, vm] : wave.vms) {
-        const auto* const listed = directory_.find(name);
-        const bool in_maintenance = listed != nullptr && listed->state == vm_state::maintenance;
-        if (vm.phase == wave_phase::ordered || in_maintenance) {
-            ++down;
-        }
+    if (directory_.listed_at() <= wave.orders_held_until) {
+        return;
     }
+    const auto down = std::count_if(wave.vms.begin(), wave.vms.end(),
+                                    [this](const auto& entry) { return may_be_down(entry.first); });
+    auto free_places = wave.request.max_concurrent - down;
     for (auto& [name, vm] : wave.vms) {
         if (vm.phase == wave_phase::ordered && vm.order.repeat_due(timers_.now()) &&
             order_log_.may_order(name)) {
             order_maintenance(wave, name);
         }
-        if (vm.phase != wave_phase::draining || down >= wave.request.max_concurrent) {
+        if (vm.phase != wave_phase::draining || (!vm.may_be_ordered && free_places <= 0)) {
             continue;
         }
-        const auto* const listed = directory_.find(name);
-        if (directory_.has_no_tasks(name) && listed->state == vm_state::up &&
-            order_log_.may_order(name)) {
-            ++down;
+        if (!directory_.has_no_tasks(name) || directory_.find(name)->state != vm_state::up) {
+            continue;
+        }
+        if (!vm.may_be_ordered) {
+            vm.may_be_ordered = true;
+            --free_places;
+            wave.status_written = false;
+        }
+        const bool logged = order_log_.may_order(name);
+        if (logged && wave.recorded_orders.count(name) != 0) {
             vm.phase = wave_phase::ordered;
             order_maintenance(wave, name);
         }
     }
+    if (!wave.status_written) {
+        write_status(wave);
+    }
 }
 
 void wave_manager::order_maintenance(wave_progress& wave, const std::string& name)
@@ -265,6 +330,8 @@
     auto& vm = wave.vms[name];
     switch (vm.order.on_answered(status, timers_.now())) {
     case vm_order::outcome::executed:
+        vm.ordered_by_previous_leader = false;
+        wave.status_written = false; // the record lists accepted orders
         reservations_.confirm(name, reservation_purpose::maintenance,
                               vm.order.former_worker().worker);
         return;
@@ -282,15 +349,22 @@
     }
 }
 
-std::string wave_manager::encode_progress(const wave_progress& wave) const
+wave_record wave_manager::record_of(const wave_progress& wave)
 {
-    nlohmann::json finished = nlohmann::json::array();
+    wave_record record;
+    record.wave = wave.request.wave;
     for (const auto& [name, vm] : wave.vms) {
         if (vm.phase == wave_phase::finished) {
-            finished.push_back(name);
+            record.finished.insert(name);
+        }
+        if (vm.may_be_ordered) {
+            record.ordered.insert(name);
+        }
+        if (vm.phase == wave_phase::ordered && vm.order.settled()) {
+            record.accepted.insert(name);
         }
     }
-    return nlohmann::json{{"wave", wave.request.wave}, {"finished", std::move(finished)}}.dump();
+    return record;
 }
 
 void wave_manager::write_status(wave_progress& wave)
@@ -301,15 +375,17 @@
     wave.writing = true;
     const auto number = wave.request.wave;
     const bool completed = wave.completed;
-    const auto progress = encode_progress(wave);
-    const auto record_key = record_prefix + std::to_string(number);
+    const auto record = record_of(wave);
+    const auto encoded = record.encode();
+    const auto record_key = wave_record::key_of(number);
     store_transaction transaction;
     transaction.conditions = {{leadership::leader_key, leader_.token},
                               {record_key, record_revisions_[record_key]}};
     transaction.writes = {
         {documents_.wave_status_key(number), documents_.encode_wave_status(completed), 0},
-        {record_key, progress, 0}};
-    store_.commit(transaction, [this, number, record_key, completed, progress,
+        {record_key, encoded, 0}};
+    store_.commit(transaction, [this, number, record_key, completed, encoded,
+                                orders = record.ordered,
                                 alive = alive_](const store_result<commit_outcome>& result) {
         if (!*alive) {
             return;
@@ -318,7 +394,13 @@
         wave.writing = false;
         const bool executed = result.value && on_status_written(record_key, *result.value);
         wave.status_written =
-            executed && wave.completed == completed && encode_progress(wave) == progress;
+            executed && wave.completed == completed && record_of(wave).encode() == encoded;
+        if (executed) {
+            wave.recorded_orders = orders;
+            if (may_act_()) {
+                step(); // sends the orders that have waited for the record
+            }
+        }
     });
 }
 
--- a/src/jobs/wave_manager.h
+++ b/src/jobs/wave_manager.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "jobs/vm_order.h"
 #include "jobs/vm_order_log.h"
 #include "jobs/vm_reservations.h"
+#include "jobs/wave_record.h"
 #include "net/timer_service.h"
 
 namespace jl::jobs {
@@ -23,8 +25,6 @@
 // by one, and its other tasks run to their end. Not thread-safe.
 class wave_manager {
 public:
-    static constexpr const char* record_prefix = "jl/wave/";
-
     // `may_act`: whether this process certainly is the leader. `may_relocate`: whether another
     // worker has capacity for the task.
     wave_manager(net::timer_service& timers, vm_port& vms, vm_directory& directory,
@@ -48,11 +48,19 @@
         net::boot_time draining_since{};
         vm_order order;
         bool seen_down = false; // the list of VMs has shown it down since it was ordered
+        // An order of this leader or of a previous one may be sent, in progress or executed. It
+        // takes up a place of the wave until the outcome is known.
+        bool may_be_ordered = false;
+        // A previous leader may have sent the order, and this one has not settled it yet.
+        bool ordered_by_previous_leader = false;
     };
     struct wave_progress {
         wave_request request;
         net::boot_time known_since{};
         std::map<std::string, wave_vm> vms;
+        std::set<std::string> recorded_orders; // VMs that the stored record names as ordered
+        // No VM is ordered before the list of VMs was read later than this.
+        net::boot_time orders_held_until{};
         bool completed = false;
         bool status_written = false; // the store has the current status and progress
         bool writing = false;
@@ -64,6 +72,12 @@
     // was before.
     bool has_returned(const std::string& name, const wave_vm& vm) const;
     void finish_vm(wave_progress& wave, const std::string& name);
+    // Takes over the orders of previous leaders from the wave's record.
+    void adopt_orders(wave_progress& wave, const wave_record& record);
+    // Gives the VM's place back once no order of a previous leader can take effect any more.
+    void drop_expired_order(wave_progress& wave, const std::string& name, wave_vm& vm);
+    // True if the VM may be down for maintenance, or may go down without a further order.
+    bool may_be_down(const std::string& name) const;
     void drain_vms(wave_progress& wave);
     void order_drained(wave_progress& wave);
     void order_maintenance(wave_progress& wave, const std::string& vm);
@@ -74,7 +88,7 @@
     void write_status(wave_progress& wave);
     // A write of the wave's status and record was answered. Returns true if it was executed.
     bool on_status_written(const std::string& record_key, const commit_outcome& outcome);
-    std::string encode_progress(const wave_progress& wave) const;
+    static wave_record record_of(const wave_progress& wave);
 
     net::timer_service& timers_;
     vm_port& vm_port_;
@@ -91,7 +105,7 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     std::map<std::int64_t, wave_progress> waves_;
-    std::map<std::int64_t, std::vector<std::string>> finished_by_previous_leaders_; // VMs, by wave
+    std::map<std::int64_t, wave_record> records_;          // of previous leaders, by wave
     std::map<std::string, std::int64_t> record_revisions_; // of progress records, by key
 };
 
