--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -98,7 +98,7 @@
       answer_timer_(answer_wait),
       hold_poll_(hold_wait),
       born_(info_.started_at_ms),
-      answered_at_address_(proven()),
+      answered_at_address_(settings_.previous_leader_lease > 0ms),
       lease_bound_(timers.now() + on_local_clock(settings_.previous_leader_lease) + expiry_margin)
 {
     check_lease_expiry();
@@ -156,9 +156,11 @@
     }
 }
 
-void worker_session::drop_refuted_hint(net::boot_time requested_at)
+void worker_session::drop_refuted_hint(const order_result& result, net::boot_time requested_at)
 {
-    if (!hint_ || requested_at <= hint_->read_at || hint_->info.started_at_ms <= born_) {
+    const bool refuted = hint_ && requested_at > hint_->read_at && result.started_at_ms != 0 &&
+                         result.started_at_ms < hint_->info.started_at_ms;
+    if (!refuted) {
         return;
     }
     log_event(log_level::warning, "worker.restart_refuted",
@@ -364,7 +366,7 @@
         return;
     }
     note_presence(requested_at);
-    drop_refuted_hint(requested_at);
+    drop_refuted_hint(report.result, requested_at);
     contacted_ = true;
     answered_at_address_ = true;
     has_more_ends_ = report.has_more_ends;
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -168,8 +168,8 @@
     // The worker has answered a request that was sent at this time.
     void note_presence(net::boot_time requested_at);
     void note_absence(net::boot_time requested_at);
-    // The present incarnation has answered a request that was sent at this time.
-    void drop_refuted_hint(net::boot_time requested_at);
+    // The worker has reported, as requested at this time: which incarnation it is decides.
+    void drop_refuted_hint(const order_result& result, net::boot_time requested_at);
     // The worker has restarted, as its answer tells.
     void on_new_incarnation(std::int64_t started_at_ms, incarnation_source source);
     void send_hold();
