A worker whose presence is in question gets no tasks

Cause: since a registration, a list and our own order to a VM end a worker only after it was asked, the worker of a VM that has just been powered off stayed usable until the first request to it failed: its registration is there for some seconds, and an idle worker is not asked otherwise. Tasks that started on it were lost. Now a worker gets none while the check goes on.

--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -557,6 +557,42 @@
     EXPECT_NE(fleet.leader(), nullptr);
 }
 
+class powered_off_workers : public fleet_changes, public ::testing::WithParamInterface<int> {};
+
+// Guards against starts on the worker of a VM that was just powered off: its registration is there
+// for a while, and it is being asked whether it is gone. The demand comes around the end of the
+// move.
+TEST_P(powered_off_workers, get_no_tasks)
+{
+    add_vms(6, 0);
+    fleet.workers.default_plan.duration = 30s;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    const auto registered = fleet.documents.workers;
+    const auto run_with_old_registrations = [&](milliseconds span) {
+        fleet.timers.run_for(span);
+        for (const auto& [worker, info] : registered) {
+            if (fleet.documents.workers.count(worker) == 0) {
+                fleet.list_worker(info);
+            }
+        }
+    };
+    for (int step = 0; step < 600 && fleet.vms.vms_in("rounds") > 2; ++step) {
+        run_with_old_registrations(10ms);
+    }
+    ASSERT_EQ(fleet.vms.vms_in("rounds"), 2);
+    run_with_old_registrations(milliseconds(GetParam()));
+    for (int number = 0; number < 8; ++number) {
+        auto spec = make_job(std::to_string(1000000000000000 + number), 1, 1);
+        spec.steps[0].request.millicores = 64000; // a whole VM
+        fleet.leader()->submit(std::move(spec), [](submit_outcome) {});
+    }
+    fleet.timers.run_for(200ms);
+    EXPECT_EQ(fleet.workers.starts_on_stopped_workers(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(ms_after_the_order, powered_off_workers, ::testing::Range(1400, 1900, 25));
+
 // Guards against powered-off VMs that cannot be used until the leases of their former workers are
 // over, because the next leader finds these workers in the roster.
 TEST_F(fleet_changes, new_leader_uses_vms_that_were_just_powered_off)
--- a/src/jobs/pool_candidates.cpp
+++ b/src/jobs/pool_candidates.cpp
@@ -79,8 +79,8 @@
     const auto& session = *handle.session;
     return (checks_capacity || room_is_known(handle, now)) && handle.registered &&
            handle.roster_entry_durable && !handle.info().draining && session.contacted() &&
-           session.reachable() && !session.dead() && now >= handle.unhealthy_until &&
-           now >= handle.no_room_until;
+           session.reachable() && !session.presence_in_question() && !session.dead() &&
+           now >= handle.unhealthy_until && now >= handle.no_room_until;
 }
 
 } // namespace
--- a/src/jobs/testing/fake_workers.cpp
+++ b/src/jobs/testing/fake_workers.cpp
@@ -36,6 +36,9 @@
     void start(const start_order& order, milliseconds timeout,
                std::function<void(const order_result&)> done) override
     {
+        const auto found = fleet_.workers_.find(worker_);
+        const bool stopped = found != fleet_.workers_.end() && !found->second.up;
+        fleet_.starts_on_stopped_workers_ += stopped ? 1 : 0;
         deliver([&fleet = fleet_, worker = worker_,
                  order] { return fleet.handle_start(worker, order); },
                 timeout, done);
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -128,7 +128,9 @@
     net::boot_time stopped_at() const { return stopped_at_; }
     // Number of hold requests that leaders have sent.
     std::size_t holds() const { return holds_; }
-    // Of these, those to workers that do not exist.
+    // Number of start orders that leaders have sent to workers whose process does not run.
+    std::size_t starts_on_stopped_workers() const { return starts_on_stopped_workers_; }
+    // Of the holds, those to workers that do not exist.
     std::size_t holds_to_unknown_workers() const { return holds_to_unknown_workers_; }
 
 private:
@@ -207,6 +209,7 @@
     std::size_t started_runs_ = 0;
     std::size_t holds_ = 0;
     std::size_t holds_to_unknown_workers_ = 0;
+    std::size_t starts_on_stopped_workers_ = 0;
     net::boot_time stopped_at_{};
 };
 
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -94,6 +94,8 @@
     // Asks the worker for reports and calls `absent` if it leaves two in a row unanswered. An
     // answer to a request that was sent after this call ends the check.
     void check_presence(std::function<void()> absent);
+    // True while such a check is going on.
+    bool presence_in_question() const { return presence_check_.has_value(); }
     // Sends all requests from now on through this port, which leads to another address.
     void reconnect(std::unique_ptr<worker_port> port, const endpoint& address);
 
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -241,8 +241,10 @@
         received.holds_to_lose = lost;
         timers.run_for(1ms);
         session->check_presence([&absent] { absent = true; });
+        EXPECT_TRUE(session->presence_in_question());
         timers.run_for(3s);
         EXPECT_EQ(absent, lost == 2) << lost;
+        EXPECT_FALSE(session->presence_in_question());
     }
 }
 
