--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -45,7 +45,7 @@
                        [](const task* assigned) { return assigned->spec().long_running; });
 }
 
-bool run_long_running_task(const std::vector<worker_handle*>& workers)
+bool any_runs_long_running_task(const std::vector<worker_handle*>& workers)
 {
     return std::any_of(workers.begin(), workers.end(),
                        [](const worker_handle* handle) { return runs_long_running_task(*handle); });
@@ -181,7 +181,8 @@
         const auto& present = by_pool[service.name];
         state.vms = static_cast<int>(present.vms.size()) + present.arriving;
         for (const auto* const vm : present.vms) {
-            state.pinned_vms += run_long_running_task(directory_.workers_on_vm(vm->vm)) ? 1 : 0;
+            state.pinned_vms +=
+                any_runs_long_running_task(directory_.workers_on_vm(vm->vm)) ? 1 : 0;
         }
         // A VM that arrives stays at least until its pool has had a surplus for a while.
         const auto lead_time = move_time_ + first_start_delay;
@@ -255,7 +256,7 @@
     return handle == nullptr || !handle->registered || handle->session->dead()
                ? directory_.has_no_tasks(vm.vm)
                : (handle->session->contacted() && !handle->info().draining &&
-                  !run_long_running_task(directory_.workers_on_vm(vm.vm)));
+                  !any_runs_long_running_task(directory_.workers_on_vm(vm.vm)));
 }
 
 // Returns the VMs of the pool that can be moved, those with the fewest tasks first.
--- a/src/jobs/wave_handover_test.cpp
+++ b/src/jobs/wave_handover_test.cpp
@@ -107,17 +107,23 @@
 
 class wave_handover_moments : public wave_handover,
                               public ::testing::WithParamInterface<
-                                  std::tuple<change_of_leaders, milliseconds, milliseconds>> {};
+                                  std::tuple<change_of_leaders, milliseconds, milliseconds>> {
+protected:
+    void change_leader_after_the_first_order()
+    {
+        const auto [how, list_lag, after_order] = GetParam();
+        start(4, list_lag);
+        request_wave_beside_a_task();
+        fleet.timers.run_for(after_order);
+        change_leader(how);
+    }
+};
 
 // Guards against a new leader that does not count the VM which its predecessor has ordered, while
 // the list of VMs does not show it down yet: it ordered a second VM where one is allowed.
 TEST_P(wave_handover_moments, next_leader_keeps_the_limit)
 {
-    const auto [how, list_lag, after_order] = GetParam();
-    start(4, list_lag);
-    request_wave_beside_a_task();
-    fleet.timers.run_for(after_order);
-    change_leader(how);
+    change_leader_after_the_first_order();
     fleet.timers.run_for(60s);
     expect_wave_completed(4);
 }
@@ -125,11 +131,7 @@
 // Guards against the same after two changes of leaders within one lag of the list.
 TEST_P(wave_handover_moments, leader_after_the_next_keeps_the_limit)
 {
-    const auto [how, list_lag, after_order] = GetParam();
-    start(4, list_lag);
-    request_wave_beside_a_task();
-    fleet.timers.run_for(after_order);
-    change_leader(how);
+    change_leader_after_the_first_order();
     fleet.timers.run_for(100ms);
     change_leader(change_of_leaders::planned);
     fleet.timers.run_for(60s);
