Decode teams: keys, weights and quotas of the configuration

The platform's configuration lists teams that no part of jl-node read. New library src/teams holds them with lookups by name and key; a job and its record name the team. Nothing uses them yet. task_resources moves to src/decisions, because quotas are amounts of the same resources.

--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -176,6 +176,9 @@
                      {"a", to_unix(source.accepted).count()},
                      {"p", source.services},
                      {"n", source.next_occurrence}};
+    if (!source.spec.team.empty()) {
+        document["t"] = source.spec.team;
+    }
     if (source.active()) {
         document["spec"] = encode_spec(source.spec);
         json occurrences = json::array();
@@ -200,6 +203,7 @@
         }
         const auto& document = *parsed;
         target.spec.queue = document.at("q").get<std::string>();
+        target.spec.team = document.value("t", ""); // earlier versions did not write it
         target.state = static_cast<job_state>(document.at("s").get<int>());
         target.accepted = from_unix(milliseconds(document.at("a").get<std::int64_t>()));
         target.services = document.at("p").get<std::vector<std::string>>();
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -8,23 +8,14 @@
 #include <vector>
 
 #include "base/settings.h"
+#include "decisions/task_resources.h"
+#include "teams/team.h"
 
 namespace jl::jobs {
 
 using std::chrono::milliseconds;
 
-// Resources that a task requests or that a worker provides.
-struct task_resources {
-    std::int64_t millicores = 0;
-    std::int64_t memory_mb = 0;
-    std::int64_t accelerators = 0;
-
-    bool operator==(const task_resources& other) const
-    {
-        return millicores == other.millicores && memory_mb == other.memory_mb &&
-               accelerators == other.accelerators;
-    }
-};
+using decisions::task_resources;
 
 // One step of a job: `count` tasks with the same specification.
 struct step_spec {
@@ -54,6 +45,7 @@
 struct job_spec {
     std::string id;
     std::string queue;
+    std::string team;    // whose key submitted it; empty: none
     std::string payload; // passed to every task unchanged
     std::vector<step_spec> steps;
     int occurrences = 0;       // scheduled runs; 0: runs once, as soon as possible
@@ -83,6 +75,7 @@
     milliseconds latency_objective{0};
     bool needs_advice = false;       // the advisor decides which workers may run a step
     milliseconds ticket_validity{0}; // how long the advisor's permission for a worker holds
+    bool is_public = false;          // callers need no key
 };
 
 // A pool of workers as operators configure it.
@@ -97,6 +90,8 @@
     std::int64_t revision = 0; // of the store item; increases with each change
     std::vector<queue_config> queues;
     std::vector<service_config> services;
+    teams::team_directory teams;
+    bool checks_keys = false; // callers of queues that are not public need the key of a team
     std::size_t max_body_bytes = 256U << 10U;
 
     // Returns the queue of `host` with the longest prefix that matches `path`; null if none does.
