--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -1,7 +1,9 @@
 #include "tests/harness/child_process.h"
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -142,4 +144,24 @@
     return resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
 }
 
+double child_process::peak_resident_mb() const
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    std::string word;
+    double kilobytes = 0;
+    while (file >> word) {
+        if (word == "VmHWM:") {
+            file >> kilobytes;
+            break;
+        }
+    }
+    return kilobytes / (1 << 10);
+}
+
+std::size_t child_process::open_descriptors() const
+{
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace jl::harness
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,6 +35,9 @@
     // Processor time used so far in seconds, and resident memory in MB.
     double cpu_seconds() const;
     double resident_mb() const;
+    // The most resident memory so far in MB.
+    double peak_resident_mb() const;
+    std::size_t open_descriptors() const;
 
 private:
     pid_t pid_ = -1;
