Servers read no further request while a response waits

Clients that pipelined requests and read no response made a node hold all of it: the next request was handled whether or not the last response had been sent, a socket was read until it was empty, and each received byte renewed the idle timeout. Ruled out: the handlers, which answer at once.

A connection is now read only while no request is being handled and no response waits.

--- a/src/net/async_client.cpp
+++ b/src/net/async_client.cpp
@@ -327,7 +327,9 @@
             const auto count = recv(conn->socket.get(), chunk.data(), chunk.size(), 0);
             if (count > 0) {
                 conn->input.append(chunk.data(), static_cast<std::size_t>(count));
-                if (static_cast<std::size_t>(count) < chunk.size()) {
+                // A server that keeps sending must not fill the memory before its answer is judged.
+                const bool full = conn->input.size() > max_head_bytes + limits_.max_answer_bytes;
+                if (full || static_cast<std::size_t>(count) < chunk.size()) {
                     break;
                 }
                 continue;
--- a/src/net/async_server.cpp
+++ b/src/net/async_server.cpp
@@ -23,6 +23,10 @@
 constexpr int listen_backlog = 512;
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
 constexpr int internal_server_error_status = 500;
+constexpr int service_unavailable_status = 503;
+constexpr const char* overload_retry_after_s = "1";
+// Pause of accept() after the process has run out of descriptors.
+constexpr std::chrono::milliseconds accept_pause{100};
 // The kernel closes a connection whose sent data stays unacknowledged for this long.
 constexpr unsigned int tcp_user_timeout_ms = 5000;
 
@@ -38,6 +42,15 @@
     }
 }
 
+// The request has not been handed to the handler, so it has no effect.
+http::response overload_response()
+{
+    auto response = http::error_response(service_unavailable_status, "overloaded",
+                                         "the request has not been carried out; try again");
+    response.headers["Retry-After"] = overload_retry_after_s;
+    return response;
+}
+
 } // namespace
 
 class async_server::implementation {
@@ -49,15 +62,19 @@
         listener_.bind(Poco::Net::SocketAddress(address.address, address.port), true);
         listener_.listen(listen_backlog);
         listener_.setBlocking(false);
-        loop_.watch(listener_.impl()->sockfd(), EPOLLIN,
-                    [this](std::uint32_t) { accept_pending_connections(); });
+        watch_listener();
         schedule_idle_check();
     }
 
     ~implementation()
     {
         loop_.cancel(idle_check_timer_);
-        loop_.unwatch(listener_.impl()->sockfd());
+        if (accept_timer_ != 0) {
+            loop_.cancel(accept_timer_);
+        }
+        else {
+            loop_.unwatch(listener_.impl()->sockfd());
+        }
         for (auto& [descriptor, connection] : connections_) {
             loop_.unwatch(descriptor);
             connection->closed = true;
@@ -94,10 +111,20 @@
         message_buffer input;
         std::string output;
         boot_time last_activity = boot_clock::now();
-        bool busy = false; // the handler has not answered the current request yet
+        boot_time receiving_since{};         // when the first byte of the request in `input` came
+        std::size_t bytes_being_handled = 0; // size of the current request
+        std::uint32_t watched_events = EPOLLIN;
+        bool busy = false;                   // the handler has not answered the current request yet
+        bool next_request_scheduled = false; // handle_next_request() is called from the loop
         bool close_after_write = false;
         bool closed = false;
-        bool write_watched = false; // the loop watches EPOLLOUT
+
+        // False while a response waits or further requests have been received, which keeps a client
+        // that does not read its responses from filling the memory.
+        bool accepts_input() const
+        {
+            return !busy && !next_request_scheduled && output.empty() && !close_after_write;
+        }
     };
     using connection_ptr = std::shared_ptr<connection>;
 
@@ -107,21 +134,64 @@
             unique_fd socket(accept4(listener_.impl()->sockfd(), nullptr, nullptr,
                                      SOCK_NONBLOCK | SOCK_CLOEXEC));
             if (!socket.valid()) {
+                if (errno == EMFILE || errno == ENFILE) {
+                    make_descriptor_available();
+                }
                 return;
             }
-            if (connections_.size() >= limits_.max_connections) {
+            if (connections_.size() >= limits_.max_connections && !close_least_active()) {
                 continue; // closes the socket, so that the caller tries another entry VM at once
             }
-            const int on = 1;
-            setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-            setsockopt(socket.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcp_user_timeout_ms,
-                       sizeof tcp_user_timeout_ms);
-            const int descriptor = socket.get();
-            auto conn = std::make_shared<connection>(std::move(socket), limits_);
-            connections_[descriptor] = conn;
-            loop_.watch(descriptor, EPOLLIN,
-                        [this, conn](std::uint32_t events) { on_event(conn, events); });
+            add_connection(std::move(socket));
+        }
+    }
+
+    void add_connection(unique_fd socket)
+    {
+        const int on = 1;
+        setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        setsockopt(socket.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcp_user_timeout_ms,
+                   sizeof tcp_user_timeout_ms);
+        const int descriptor = socket.get();
+        auto conn = std::make_shared<connection>(std::move(socket), limits_);
+        connections_[descriptor] = conn;
+        loop_.watch(descriptor, EPOLLIN,
+                    [this, conn](std::uint32_t events) { on_event(conn, events); });
+    }
+
+    // The process has no descriptor left. A pause keeps the pending connection, which the listener
+    // would report again and again, from occupying the loop.
+    void make_descriptor_available()
+    {
+        log_event(log_level::warning, "server.out_of_descriptors",
+                  {{"connections", std::to_string(connections_.size())}});
+        close_least_active();
+        loop_.unwatch(listener_.impl()->sockfd());
+        accept_timer_ = loop_.call_after(accept_pause, [this] { watch_listener(); });
+    }
+
+    void watch_listener()
+    {
+        accept_timer_ = 0;
+        loop_.watch(listener_.impl()->sockfd(), EPOLLIN,
+                    [this](std::uint32_t) { accept_pending_connections(); });
+    }
+
+    // Closes the connection that has been inactive for longest and has no request being handled.
+    // Returns false if there is none.
+    bool close_least_active()
+    {
+        connection_ptr least_active;
+        for (const auto& [descriptor, conn] : connections_) {
+            if (!conn->busy &&
+                (!least_active || conn->last_activity < least_active->last_activity)) {
+                least_active = conn;
+            }
         }
+        if (least_active) {
+            close(least_active);
+        }
+        return least_active != nullptr;
     }
 
     void on_event(const connection_ptr& conn, std::uint32_t events)
@@ -129,38 +199,94 @@
         if ((events & EPOLLOUT) != 0) {
             flush(conn);
         }
-        if (!conn->closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
+        if (conn->closed || (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0) {
+            return;
+        }
+        if (conn->accepts_input()) {
             read(conn);
         }
+        else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
+            close(conn); // no response can be delivered, and the loop would report it again
+        }
+        else {
+            pause_reading(conn);
+        }
+    }
+
+    // The client has sent more than its current request, or has closed the connection.
+    void pause_reading(const connection_ptr& conn)
+    {
+        char next = 0;
+        const auto count = recv(conn->socket.get(), &next, sizeof next, MSG_PEEK);
+        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR)) {
+            close(conn);
+            return;
+        }
+        watch_events(conn, conn->watched_events & ~static_cast<std::uint32_t>(EPOLLIN));
     }
 
+    // Reads until a request is complete or nothing more has been received.
     void read(const connection_ptr& conn)
     {
         std::array<char, read_chunk_bytes> chunk; // NOLINT: filled by recv
-        while (!conn->closed) {
+        while (!conn->closed && conn->accepts_input()) {
             const auto count = recv(conn->socket.get(), chunk.data(), chunk.size(), 0);
-            if (count > 0) {
-                conn->input.append(chunk.data(), static_cast<std::size_t>(count));
-                conn->last_activity = boot_clock::now();
-                if (static_cast<std::size_t>(count) < chunk.size()) {
-                    break;
-                }
-                continue;
-            }
             if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-                break;
+                return;
             }
-            close(conn);
-            return;
+            if (count <= 0) {
+                close(conn);
+                return;
+            }
+            const auto size = static_cast<std::size_t>(count);
+            append_input(conn, chunk.data(), size);
+            if (conn->closed) {
+                return;
+            }
+            handle_next_request(conn);
+            if (size < chunk.size()) {
+                return;
+            }
+        }
+    }
+
+    void append_input(const connection_ptr& conn, const char* data, std::size_t size)
+    {
+        conn->last_activity = boot_clock::now();
+        if (conn->input.empty()) {
+            conn->receiving_since = conn->last_activity;
+        }
+        conn->input.append(data, size);
+        buffered_bytes_ += size;
+        while (buffered_bytes_ > limits_.max_buffered_bytes && close_oldest_partial_request()) {
         }
-        handle_next_request(conn);
+    }
+
+    // Clients that never complete their requests must not keep those of others out. Returns false
+    // if there is no partial request.
+    bool close_oldest_partial_request()
+    {
+        connection_ptr oldest;
+        for (const auto& [descriptor, conn] : connections_) {
+            const bool partial = conn->accepts_input() && !conn->input.empty();
+            if (partial && (!oldest || conn->receiving_since < oldest->receiving_since)) {
+                oldest = conn;
+            }
+        }
+        if (oldest) {
+            log_event(log_level::info, "server.partial_request_dropped",
+                      {{"bytes", std::to_string(oldest->input.size())}});
+            close(oldest);
+        }
+        return oldest != nullptr;
     }
 
     void handle_next_request(const connection_ptr& conn)
     {
-        if (conn->busy || conn->closed || conn->close_after_write) {
+        if (conn->closed || !conn->accepts_input()) {
             return;
         }
+        const auto size_before = conn->input.size();
         auto request = conn->input.take_request();
         if (!request) {
             if (conn->input.error() != framing_error::none) {
@@ -170,10 +296,16 @@
             }
             return;
         }
+        conn->receiving_since = conn->last_activity;
+        conn->bytes_being_handled = size_before - conn->input.size();
+        bytes_being_handled_ += conn->bytes_being_handled;
         conn->busy = true;
         ++open_requests_;
-        const bool close_requested = wants_close(request->headers);
-        const auto respond = make_responder(conn, close_requested);
+        const auto respond = make_responder(conn, wants_close(request->headers));
+        if (bytes_being_handled_ > limits_.max_buffered_bytes / 2) {
+            respond(overload_response());
+            return;
+        }
         // An exception from the handler must not end the process, which serves other requests. The
         // error response does not say whether the request took effect.
         try {
@@ -191,22 +323,22 @@
     responder make_responder(const connection_ptr& conn, bool close_requested)
     {
         const std::weak_ptr<connection> weak_conn = conn;
-        return [this, weak_conn, close_requested,
+        return [this, weak_conn, close_requested, size = conn->bytes_being_handled,
                 answered = std::make_shared<bool>(false)](const http::response& response) {
             if (std::exchange(*answered, true)) {
                 return;
             }
             --open_requests_;
+            bytes_being_handled_ -= size;
+            buffered_bytes_ -= size;
             const auto locked_conn = weak_conn.lock();
             if (!locked_conn || locked_conn->closed) {
                 return;
             }
             locked_conn->busy = false;
+            locked_conn->bytes_being_handled = 0;
             locked_conn->close_after_write = close_requested || shutting_down_;
             send(locked_conn, response);
-            if (!locked_conn->input.empty()) {
-                loop_.defer([this, locked_conn] { handle_next_request(locked_conn); });
-            }
         };
     }
 
@@ -218,34 +350,58 @@
 
     void flush(const connection_ptr& conn)
     {
-        while (!conn->output.empty()) {
-            const auto count =
-                ::send(conn->socket.get(), conn->output.data(), conn->output.size(), MSG_NOSIGNAL);
+        std::size_t sent = 0;
+        while (sent < conn->output.size()) {
+            const auto count = ::send(conn->socket.get(), conn->output.data() + sent,
+                                      conn->output.size() - sent, MSG_NOSIGNAL);
             if (count > 0) {
-                conn->output.erase(0, static_cast<std::size_t>(count));
+                sent += static_cast<std::size_t>(count);
                 conn->last_activity = boot_clock::now();
                 continue;
             }
             if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-                watch_writable(conn, true);
+                conn->output.erase(0, sent);
+                watch_events(conn, conn->watched_events | EPOLLOUT);
                 return;
             }
             close(conn);
             return;
         }
-        watch_writable(conn, false);
+        conn->output = {}; // also releases its memory
         if (conn->close_after_write) {
             close(conn);
+            return;
         }
+        continue_after_response(conn);
     }
 
-    void watch_writable(const connection_ptr& conn, bool write_watched)
+    // A complete request may have been received already. It is handled from the loop, so that a
+    // client with many of them does not keep the others waiting.
+    void continue_after_response(const connection_ptr& conn)
     {
-        if (conn->write_watched == write_watched) {
+        if (conn->busy) {
+            return;
+        }
+        if (conn->input.empty()) {
+            watch_events(conn, EPOLLIN);
             return;
         }
-        conn->write_watched = write_watched;
-        loop_.modify(conn->socket.get(), write_watched ? EPOLLIN | EPOLLOUT : EPOLLIN);
+        conn->next_request_scheduled = true;
+        loop_.defer([this, conn] {
+            conn->next_request_scheduled = false;
+            handle_next_request(conn);
+            if (!conn->closed && conn->accepts_input()) {
+                watch_events(conn, EPOLLIN); // the rest of the request has not been received
+            }
+        });
+    }
+
+    void watch_events(const connection_ptr& conn, std::uint32_t events)
+    {
+        if (conn->watched_events != events) {
+            conn->watched_events = events;
+            loop_.modify(conn->socket.get(), events);
+        }
     }
 
     void close(const connection_ptr& conn)
@@ -254,22 +410,30 @@
             return;
         }
         conn->closed = true;
+        buffered_bytes_ -= conn->input.size(); // a request being handled counts until its response
         loop_.unwatch(conn->socket.get());
         connections_.erase(conn->socket.get());
         conn->socket.reset();
     }
 
+    bool is_overdue(const connection& conn, boot_time now) const
+    {
+        const bool receiving = conn.accepts_input() && !conn.input.empty();
+        return !conn.busy && (conn.last_activity < now - limits_.idle_timeout ||
+                              (receiving && conn.receiving_since < now - limits_.max_receive_time));
+    }
+
     void schedule_idle_check()
     {
         idle_check_timer_ = loop_.call_after(limits_.idle_timeout / 4, [this] {
-            const auto oldest = boot_clock::now() - limits_.idle_timeout;
-            std::vector<connection_ptr> idle;
+            const auto now = boot_clock::now();
+            std::vector<connection_ptr> overdue;
             for (const auto& [descriptor, conn] : connections_) {
-                if (!conn->busy && conn->last_activity < oldest) {
-                    idle.push_back(conn);
+                if (is_overdue(*conn, now)) {
+                    overdue.push_back(conn);
                 }
             }
-            for (const auto& conn : idle) {
+            for (const auto& conn : overdue) {
                 close(conn);
             }
             schedule_idle_check();
@@ -282,7 +446,11 @@
     Poco::Net::ServerSocket listener_;
     std::unordered_map<int, connection_ptr> connections_;
     event_loop::timer_id idle_check_timer_ = 0;
+    event_loop::timer_id accept_timer_ = 0; // 0 while the listener is watched
     std::size_t open_requests_ = 0;
+    // See async_server_limits::max_buffered_bytes.
+    std::size_t buffered_bytes_ = 0;
+    std::size_t bytes_being_handled_ = 0;
     bool shutting_down_ = false;
 };
 
--- a/src/net/async_server.h
+++ b/src/net/async_server.h
@@ -12,11 +12,18 @@
 namespace jl::net {
 
 struct async_server_limits {
+    // At the limit, a new connection replaces the one that has been inactive for longest.
     std::size_t max_connections = 1500;
     std::size_t max_head_bytes = 16U << 10U;
     std::size_t max_body_bytes = 256U << 10U;
-    std::chrono::milliseconds idle_timeout{
-        15000}; // also limits the pause between two reads of one request
+    // Of all connections together: received bytes that are not handled yet, and requests that are
+    // being handled. Beyond it, the partial request that began first is dropped with its
+    // connection. Requests being handled may take half of it; further ones get 503.
+    std::size_t max_buffered_bytes = 32U << 20U;
+    // Of a connection without any received or sent byte, unless a request is being handled.
+    std::chrono::milliseconds idle_timeout{15000};
+    // From the first byte of a request to its last one.
+    std::chrono::milliseconds max_receive_time{60000};
 };
 
 // Sends the response to one request. May be called after the handler has returned. Calls after the
@@ -24,7 +31,9 @@
 using responder = std::function<void(http::response)>;
 using async_handler = std::function<void(http::request, responder)>;
 
-// Asynchronous HTTP/1.1 server on the event loop. Handles one request at a time per connection.
+// Asynchronous HTTP/1.1 server on the event loop. Handles one request at a time per connection, and
+// reads no further one before the response has been sent, so that a client that does not read its
+// responses is slowed down and takes a bounded amount of memory.
 //
 //   async_server server(loop, address, {}, [](http::request request, responder respond) {
 //       respond(http::json_response(200, "{}"));
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -18,6 +18,7 @@
 
     void append(const char* data, std::size_t size);
     bool empty() const { return bytes_.empty(); }
+    std::size_t size() const { return bytes_.size(); }
 
     // Removes the next complete message from the buffer and returns it. Returns nothing if more
     // bytes are needed (error() is `none`) or if the message is rejected (error() says why).
