Check the keys of teams

The leader decides, with the configuration that it follows, so that a revoked key ends with the next request on any node and any connection. A submission that waits for the store is checked again before it is recorded.

--- a/src/jobs/capacity_limits_test.cpp
+++ b/src/jobs/capacity_limits_test.cpp
@@ -71,7 +71,7 @@
     }
     fleet.timers.run_for(5s);
     for (int number = 0; number < 20; ++number) {
-        fleet.leader()->submit(make_job(job_id(number), 1, 2), [](submit_outcome) {});
+        fleet.leader()->submit(make_job(job_id(number), 1, 2), [](const submit_answer&) {});
     }
     fleet.timers.run_for(2s);
     EXPECT_GT(fleet.workers.started_runs(), 0U);
@@ -149,7 +149,7 @@
         if (leader != nullptr && chance(8)) {
             const auto id = job_id(submitted++);
             fleet.workers.plans_by_job[id] = {milliseconds(100 + random() % 900), 0};
-            leader->submit(make_job(id, 1, 3), [](submit_outcome) {});
+            leader->submit(make_job(id, 1, 3), [](const submit_answer&) {});
         }
         if (leader != nullptr && chance(20)) {
             const auto recent = static_cast<int>(random() % 8);
--- a/src/jobs/crashing_tasks_test.cpp
+++ b/src/jobs/crashing_tasks_test.cpp
@@ -35,7 +35,7 @@
         ids.push_back("0000000000000" + std::to_string(100 + number));
         fleet.workers.plans_by_job[ids.back()] = {700ms, 0};
         if (auto* const leader = fleet.leader()) {
-            leader->submit(make_job(ids.back(), 1, 2), [](submit_outcome) {});
+            leader->submit(make_job(ids.back(), 1, 2), [](const submit_answer&) {});
         }
         fleet.timers.run_for(interval);
     }
@@ -96,7 +96,7 @@
         fleet.add_node("a");
         ASSERT_TRUE(fleet.await_leader());
         for (const auto* const id : {"00000000000000a1", "00000000000000a2", "00000000000000a3"}) {
-            fleet.leader()->submit(make_job(id, 1, 2), [](submit_outcome) {});
+            fleet.leader()->submit(make_job(id, 1, 2), [](const submit_answer&) {});
         }
         const auto ids = submit_innocent_jobs(fleet, 80, 90ms);
         expect_completed(fleet, ids);
@@ -399,7 +399,7 @@
     ASSERT_TRUE(fleet.await_leader());
     for (int number = 0; number < 300; ++number) {
         const auto id = "0000000000000" + std::to_string(100 + number);
-        fleet.leader()->submit(make_job(id, 1, 4), [](submit_outcome) {});
+        fleet.leader()->submit(make_job(id, 1, 4), [](const submit_answer&) {});
     }
     ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
     fleet.timers.run_for(300ms);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -116,7 +116,7 @@
         }
     }
     for (const auto& submission : held_submissions_) {
-        refuse(submission.spec, submission.received, submission.done);
+        refuse(submission.submitted.spec, submission.received, submission.done);
     }
 }
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -78,8 +78,10 @@
     std::map<std::string, crash_report> given_up_jobs() const;
 
     const fleet_config* config() const override;
-    void submit(job_spec spec, std::function<void(submit_outcome)> done) override;
+    void submit(submission submitted, std::function<void(const submit_answer&)> done) override;
     std::optional<job_state> state(const std::string& id) const override;
+    std::string team_of(const std::string& id) const override;
+    void record_denial(const std::string& queue, access_decision reason) override;
     void cancel(const std::string& id, std::function<void(cancel_outcome)> done) override;
     std::size_t count_waiting_jobs(const std::string& queue) const override;
 
@@ -111,10 +113,9 @@
     void on_job_durable(job& job, std::int64_t version);
     void on_roster_durable(const std::string& key, std::int64_t version);
 
-    void accept(job_spec spec, net::boot_time received,
-                const std::function<void(submit_outcome)>& done);
-    void refuse(const job_spec& spec, net::boot_time received,
-                const std::function<void(submit_outcome)>& done);
+    using submit_callback = std::function<void(const submit_answer&)>;
+    void accept(submission submitted, net::boot_time received, const submit_callback& done);
+    void refuse(const job_spec& spec, net::boot_time received, const submit_callback& done);
     // True if an earlier attempt to submit the job waits for the store.
     bool is_held(const std::string& id) const;
     void accept_held_submissions();
@@ -175,8 +176,8 @@
     // Submissions that wait for the store to answer again, in order of arrival. Nothing of them has
     // been written.
     struct held_submission {
-        job_spec spec;
-        std::function<void(submit_outcome)> done;
+        submission submitted;
+        submit_callback done;
         net::boot_time received{};
     };
     std::deque<held_submission> held_submissions_;
--- a/src/jobs/engine_submissions.cpp
+++ b/src/jobs/engine_submissions.cpp
@@ -19,17 +19,18 @@
 
 } // namespace
 
-void engine::submit(job_spec spec, std::function<void(submit_outcome)> done)
+void engine::submit(submission submitted, std::function<void(const submit_answer&)> done)
 {
     const auto now = timers_.now();
+    const auto& spec = submitted.spec;
     if (!writer_->writes_failing() || jobs_.find(spec.id) != nullptr) {
-        accept(std::move(spec), now, done);
+        accept(std::move(submitted), now, done);
     }
     else if (is_held(spec.id) ||
              (writer_->unanswered_for() && *writer_->unanswered_for() < max_wait_for_store)) {
         log_event(log_level::info, "submission.held",
                   {{"job", spec.id}, {"queue", spec.queue}, {"reason", "a store answer is late"}});
-        held_submissions_.push_back({std::move(spec), std::move(done), now});
+        held_submissions_.push_back({std::move(submitted), std::move(done), now});
     }
     else {
         // The store is down. If the submission were held, it would only wait until its caller's
@@ -41,20 +42,20 @@
 bool engine::is_held(const std::string& id) const
 {
     return std::any_of(held_submissions_.begin(), held_submissions_.end(),
-                       [&](const held_submission& held) { return held.spec.id == id; });
+                       [&](const held_submission& held) { return held.submitted.spec.id == id; });
 }
 
-void engine::accept(job_spec spec, net::boot_time received,
-                    const std::function<void(submit_outcome)>& done)
+void engine::accept(submission submitted, net::boot_time received, const submit_callback& done)
 {
+    auto& spec = submitted.spec;
     const auto answer = [this, done, queue = spec.queue, received](bool durable) {
         ports_.metrics->record_submission(queue, durable ? "accepted" : "unknown",
                                           timers_.now() - received);
-        done(durable ? submit_outcome::accepted : submit_outcome::unknown);
+        done({durable ? submit_outcome::accepted : submit_outcome::unknown});
     };
     if (auto* const existing = jobs_.find(spec.id)) {
         if (existing->durable()) {
-            done(submit_outcome::accepted);
+            done({submit_outcome::accepted});
         }
         else {
             existing->durability_callbacks.emplace_back(answer);
@@ -66,6 +67,14 @@
         refuse(spec, received, done);
         return;
     }
+    // The key may have been revoked while the submission was held. Nothing of it is recorded yet.
+    const auto access = check_key(*config_, *queue, submitted.key);
+    if (!access.granted()) {
+        record_denial(queue->name, access.decision);
+        done({submit_outcome::unauthorized});
+        return;
+    }
+    spec.team = access.team;
     auto& job = jobs_.insert(std::move(spec));
     job.accepted = timers_.wall_now() - (timers_.now() - received);
     job.objective = received + completion_objective(*queue, job.spec);
@@ -80,13 +89,13 @@
     log_event(log_level::info, "job.submitted",
               {{"job", job.spec.id},
                {"queue", job.spec.queue},
+               {"team", job.spec.team},
                {"steps", std::to_string(job.spec.steps.size())},
                {"config", std::to_string(config_->version)}});
     writer_->mark_dirty(job_prefix + job.spec.id);
 }
 
-void engine::refuse(const job_spec& spec, net::boot_time received,
-                    const std::function<void(submit_outcome)>& done)
+void engine::refuse(const job_spec& spec, net::boot_time received, const submit_callback& done)
 {
     const auto held_for =
         std::chrono::duration_cast<milliseconds>(timers_.now() - received).count();
@@ -96,7 +105,7 @@
                {"reason", "nothing can be recorded now"},
                {"held_ms", std::to_string(held_for)}});
     ports_.metrics->record_submission(spec.queue, "unavailable", timers_.now() - received);
-    done(submit_outcome::unavailable);
+    done({submit_outcome::unavailable});
 }
 
 // The store answers again.
@@ -108,7 +117,7 @@
     auto held = std::move(held_submissions_);
     held_submissions_.clear();
     for (auto& submission : held) {
-        accept(std::move(submission.spec), submission.received, submission.done);
+        accept(std::move(submission.submitted), submission.received, submission.done);
     }
 }
 
@@ -119,7 +128,7 @@
     while (!held_submissions_.empty() && held_submissions_.front().received <= oldest) {
         const auto overdue = std::move(held_submissions_.front());
         held_submissions_.pop_front();
-        refuse(overdue.spec, overdue.received, overdue.done);
+        refuse(overdue.submitted.spec, overdue.received, overdue.done);
     }
 }
 
@@ -136,6 +145,19 @@
     return job.durable_state;
 }
 
+std::string engine::team_of(const std::string& id) const
+{
+    const auto found = jobs_.all().find(id);
+    return found == jobs_.all().end() ? "" : found->second->spec.team;
+}
+
+void engine::record_denial(const std::string& queue, access_decision reason)
+{
+    ports_.metrics->record_denied_request(queue, to_string(reason));
+    log_event(log_level::info, "request.unauthorized",
+              {{"queue", queue}, {"reason", to_string(reason)}});
+}
+
 void engine::cancel(const std::string& id, std::function<void(cancel_outcome)> done)
 {
     auto* const job = jobs_.find(id);
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -52,7 +52,7 @@
     fleet.add_node("a");
     ASSERT_TRUE(fleet.await_leader());
     const auto spec = make_job(job_id, 1, 1);
-    fleet.leader()->submit(spec, [](submit_outcome) {});
+    fleet.leader()->submit(spec, [](const submit_answer&) {});
     EXPECT_EQ(fleet.submit(spec), submit_outcome::accepted);
     ASSERT_TRUE(fleet.await_state(job_id, job_state::completed, 4s));
     EXPECT_EQ(fleet.submit(spec), submit_outcome::accepted);
@@ -145,7 +145,7 @@
         if (round % 20 == 0) {
             fleet.leader()->submit(
                 make_job("000000000000" + std::to_string(1000 + round / 20), 2, 6),
-                [](submit_outcome) {});
+                [](const submit_answer&) {});
         }
         if (round % 331 == 0) {
             const auto worker = "w" + std::to_string(round / 331 % 4);
@@ -219,7 +219,7 @@
     store.lost_answer_delay = 700ms;
     for (int round = 0; round < 6; ++round) {
         const auto id = "00000000000000b" + std::to_string(round);
-        fleet.leader()->submit(make_job(id, 2, 2), [](submit_outcome) {});
+        fleet.leader()->submit(make_job(id, 2, 2), [](const submit_answer&) {});
         store.mode = store_mode::answer_lost;
         fleet.timers.run_for(350ms);
         store.mode = store_mode::serving;
@@ -244,7 +244,7 @@
         fleet.timers.run_for(100ms);
         fleet.workers.set_mode("w0", mode);
         fleet.workers.set_mode("w1", mode);
-        fleet.leader()->submit(make_job(job_id, 2, 40), [](submit_outcome) {});
+        fleet.leader()->submit(make_job(job_id, 2, 40), [](const submit_answer&) {});
         fleet.timers.run_for(1500ms);
         fleet.workers.set_mode("w0", worker_mode::answering);
         fleet.workers.set_mode("w1", worker_mode::answering);
@@ -441,7 +441,7 @@
     ASSERT_TRUE(fleet.await_leader());
     auto& store = fleet.nodes.at("a")->store();
     store.mode = store_mode::refusing;
-    fleet.leader()->submit(make_job(job_id, 1, 1), [](submit_outcome) {});
+    fleet.leader()->submit(make_job(job_id, 1, 1), [](const submit_answer&) {});
     fleet.timers.run_for(100ms);
     const std::string rejected_id = "00000000000000a2";
     EXPECT_EQ(fleet.submit(make_job(rejected_id, 1, 1), 10ms), submit_outcome::unavailable);
@@ -461,11 +461,11 @@
     ASSERT_TRUE(fleet.await_leader());
     auto& store = fleet.nodes.at("a")->store();
     store.mode = store_mode::unreachable;
-    fleet.leader()->submit(make_job(job_id, 1, 1), [](submit_outcome) {});
+    fleet.leader()->submit(make_job(job_id, 1, 1), [](const submit_answer&) {});
     std::optional<submit_outcome> outcome;
     fleet.timers.run_for(store.timeout + 50ms);
     fleet.leader()->submit(make_job("00000000000000a2", 1, 1),
-                           [&](submit_outcome result) { outcome = result; });
+                           [&](const submit_answer& answer) { outcome = answer.outcome; });
     EXPECT_FALSE(outcome.has_value());
     store.mode = store_mode::serving;
     fleet.timers.run_for(store.timeout + 200ms);
@@ -482,7 +482,7 @@
     ASSERT_TRUE(fleet.await_leader());
     auto& store = fleet.nodes.at("a")->store();
     store.mode = store_mode::unreachable;
-    fleet.leader()->submit(make_job(job_id, 1, 1), [](submit_outcome) {});
+    fleet.leader()->submit(make_job(job_id, 1, 1), [](const submit_answer&) {});
     fleet.timers.run_for(store.timeout + 50ms);
     const std::string refused_id = "00000000000000a2";
     EXPECT_EQ(fleet.submit(make_job(refused_id, 1, 1), 500ms), submit_outcome::unavailable);
@@ -491,6 +491,62 @@
     EXPECT_EQ(fleet.workers.start_count(refused_id + ".0.0.0"), 0);
 }
 
+fleet_config with_team(fleet_config config, const std::vector<std::string>& keys)
+{
+    config.checks_keys = true;
+    config.teams = teams::team_directory({{"north", keys, 1.0, {}}});
+    return config;
+}
+
+// Guards against a submission that waits for the store and is accepted with a key that has been
+// revoked meanwhile. Nothing of it is recorded, so the refusal is true.
+TEST(engine, held_submission_is_refused_if_its_key_is_revoked_meanwhile)
+{
+    test_fleet fleet;
+    fleet.documents.config = with_team(fleet.documents.config, {"k1", "k2"});
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto& store = fleet.nodes.at("a")->store();
+    store.lost_commits = "jl/job/";
+    fleet.leader()->submit({make_job(job_id, 1, 1), "k1"}, [](const submit_answer&) {});
+    fleet.timers.run_for(store.timeout + 350ms);
+    std::vector<submit_outcome> outcomes;
+    const auto record_outcome = [&outcomes](const submit_answer& answer) {
+        outcomes.push_back(answer.outcome);
+    };
+    fleet.leader()->submit({make_job("00000000000000a2", 1, 1), "k1"}, record_outcome);
+    fleet.leader()->submit({make_job("00000000000000a3", 1, 1), "k2"}, record_outcome);
+    EXPECT_TRUE(outcomes.empty());
+    fleet.documents.config = with_team(fleet.documents.config, {"k2"});
+    fleet.store.put("op/config", "");
+    fleet.timers.run_for(100ms);
+    store.lost_commits.clear();
+    fleet.timers.run_for(3s);
+    const std::vector<submit_outcome> expected{submit_outcome::unauthorized,
+                                               submit_outcome::accepted};
+    EXPECT_EQ(outcomes, expected);
+    EXPECT_EQ(fleet.workers.start_count("00000000000000a2.0.0.0"), 0);
+    EXPECT_EQ(fleet.workers.start_count("00000000000000a3.0.0.0"), 1);
+}
+
+// Guards against a team that is forgotten with its leader, and against accepted work that ends
+// with its key.
+TEST(engine, accepted_job_keeps_its_team_and_runs_after_its_key_is_revoked)
+{
+    test_fleet fleet;
+    fleet.documents.config = with_team(fleet.documents.config, {"k1"});
+    ASSERT_TRUE(fleet.start_leader_and_standby());
+    ASSERT_EQ(fleet.submit(make_job(job_id, 2, 1), 2000ms, "k1"), submit_outcome::accepted);
+    fleet.documents.config = with_team(fleet.documents.config, {});
+    fleet.store.put("op/config", "");
+    fleet.nodes.erase("a");
+    ASSERT_TRUE(fleet.await_leader());
+    EXPECT_EQ(fleet.leader()->team_of(job_id), "north");
+    EXPECT_EQ(fleet.submit(make_job("00000000000000a2", 1, 1), 2000ms, "k1"),
+              submit_outcome::unauthorized);
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 30s));
+}
+
 // Guards against a repeated submission that is refused while an earlier attempt is held and then
 // accepted.
 TEST(engine, repetition_of_a_held_submission_shares_its_outcome)
@@ -500,10 +556,12 @@
     ASSERT_TRUE(fleet.await_leader());
     auto& store = fleet.nodes.at("a")->store();
     store.mode = store_mode::unreachable;
-    fleet.leader()->submit(make_job(job_id, 1, 1), [](submit_outcome) {});
+    fleet.leader()->submit(make_job(job_id, 1, 1), [](const submit_answer&) {});
     const auto repeated = make_job("00000000000000a2", 1, 1);
     std::vector<submit_outcome> outcomes;
-    const auto record_outcome = [&outcomes](submit_outcome result) { outcomes.push_back(result); };
+    const auto record_outcome = [&outcomes](const submit_answer& answer) {
+        outcomes.push_back(answer.outcome);
+    };
     fleet.timers.run_for(store.timeout + 350ms);
     fleet.leader()->submit(repeated, record_outcome);
     fleet.timers.run_for(100ms);
@@ -609,7 +667,7 @@
         small.steps[0].request = {4000, 8192, 0};
         // The ends are spread over time, so that capacity is freed in small amounts.
         fleet.workers.plans_by_job[small.id] = {milliseconds(700 + 53 * (number % 17)), 0};
-        fleet.leader()->submit(std::move(small), [](submit_outcome) {});
+        fleet.leader()->submit(std::move(small), [](const submit_answer&) {});
     }
     fleet.timers.run_for(1s);
     auto long_running_job = make_job(job_id, 1, 1);
@@ -753,8 +811,8 @@
     for (int number = 0; number < 600; ++number) {
         auto id = std::to_string(number);
         id.insert(0, 16 - id.size(), '0');
-        fleet.leader()->submit(make_job(id, 1, 1), [&accepted](submit_outcome outcome) {
-            accepted += outcome == submit_outcome::accepted ? 1 : 0;
+        fleet.leader()->submit(make_job(id, 1, 1), [&accepted](const submit_answer& answer) {
+            accepted += answer.outcome == submit_outcome::accepted ? 1 : 0;
         });
     }
     fleet.timers.run_for(1s);
--- a/src/jobs/fleet_changes_test.cpp
+++ b/src/jobs/fleet_changes_test.cpp
@@ -286,7 +286,7 @@
     fleet.request_wave(wave_of(4, 2));
     for (int number = 0; number < 150; ++number) {
         fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 4),
-                               [](submit_outcome) {});
+                               [](const submit_answer&) {});
         fleet.timers.run_for(100ms);
     }
     fleet.timers.run_for(5s);
@@ -332,8 +332,9 @@
     ASSERT_TRUE(fleet.await_leader());
     fleet.timers.run_for(1800ms); // orders to move surplus VMs out are sent
     for (int number = 0; number < 60; ++number) {
-        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
-                               [](submit_outcome) {});
+        fleet.leader()->submit(
+            {make_job("0000000000000" + std::to_string(100 + number), 1, 20), {}},
+            [](const submit_answer&) {});
         fleet.timers.run_for(50ms);
     }
     fleet.timers.run_for(10s);
@@ -354,8 +355,9 @@
     fleet.timers.run_for(1800ms); // orders to move surplus VMs out are sent
     fleet.vms.refusal = vm_order_status::rejected;
     for (int number = 0; number < 100; ++number) {
-        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
-                               [](submit_outcome) {});
+        fleet.leader()->submit(
+            {make_job("0000000000000" + std::to_string(100 + number), 1, 20), {}},
+            [](const submit_answer&) {});
         fleet.timers.run_for(50ms);
     }
     fleet.timers.run_for(5s);
@@ -378,8 +380,9 @@
     fleet.timers.run_for(1s); // their repetitions are accepted
     ASSERT_LE(fleet.vms.vms_in("rounds"), 3);
     for (int number = 0; number < 120; ++number) {
-        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
-                               [](submit_outcome) {});
+        fleet.leader()->submit(
+            {make_job("0000000000000" + std::to_string(100 + number), 1, 20), {}},
+            [](const submit_answer&) {});
         fleet.timers.run_for(200ms);
     }
     EXPECT_GE(fleet.vms.vms_in("rounds"), 5);
@@ -404,8 +407,9 @@
     fleet.kill("a");
     ASSERT_TRUE(fleet.await_leader());
     for (int number = 0; number < 140; ++number) {
-        fleet.leader()->submit(make_job("0000000000000" + std::to_string(100 + number), 1, 20),
-                               [](submit_outcome) {});
+        fleet.leader()->submit(
+            {make_job("0000000000000" + std::to_string(100 + number), 1, 20), {}},
+            [](const submit_answer&) {});
         fleet.timers.run_for(200ms);
     }
     EXPECT_GE(fleet.vms.vms_in("rounds"), 5);
@@ -476,7 +480,7 @@
     ASSERT_TRUE(fleet.await_leader());
     fleet.add_node("b");
     fleet.timers.run_for(1s);
-    fleet.leader()->submit(make_job(job_id, 1, 100), [](submit_outcome) {});
+    fleet.leader()->submit(make_job(job_id, 1, 100), [](const submit_answer&) {});
     fleet.timers.run_for(200ms);
     const int moved_before = fleet.vms.move_count();
     EXPECT_GT(moved_before, 0);
@@ -484,7 +488,7 @@
     ASSERT_TRUE(fleet.await_leader());
     for (int number = 0; number < 6; ++number) {
         fleet.leader()->submit(make_job("00000000000000d" + std::to_string(number), 1, 60),
-                               [](submit_outcome) {});
+                               [](const submit_answer&) {});
     }
     fleet.timers.run_for(700ms);
     EXPECT_GT(fleet.vms.move_count(), moved_before);
@@ -500,7 +504,7 @@
     fleet.add_node("a");
     ASSERT_TRUE(fleet.await_leader());
     fleet.timers.run_for(1s);
-    fleet.leader()->submit(make_job("00000000000000a2", 1, 160), [](submit_outcome) {});
+    fleet.leader()->submit(make_job("00000000000000a2", 1, 160), [](const submit_answer&) {});
     fleet.timers.run_for(2200ms);
     const int pool_size = fleet.vms.vms_in("rounds");
     ASSERT_GE(pool_size, 9);
@@ -585,7 +589,7 @@
     for (int number = 0; number < 8; ++number) {
         auto spec = make_job(std::to_string(1000000000000000 + number), 1, 1);
         spec.steps[0].request.millicores = 64000; // a whole VM
-        fleet.leader()->submit(std::move(spec), [](submit_outcome) {});
+        fleet.leader()->submit(std::move(spec), [](const submit_answer&) {});
     }
     fleet.timers.run_for(200ms);
     EXPECT_EQ(fleet.workers.starts_on_stopped_workers(), 0U);
@@ -653,7 +657,7 @@
     const auto submit_for = [&](std::chrono::milliseconds span, int jobs_per_second) {
         for (int elapsed = 0; elapsed < span.count(); elapsed += 1000 / jobs_per_second) {
             auto spec = make_job("00000000000" + std::to_string(10000 + number++), 1, 8);
-            fleet.leader()->submit(std::move(spec), [](submit_outcome) {});
+            fleet.leader()->submit(std::move(spec), [](const submit_answer&) {});
             fleet.timers.run_for(std::chrono::milliseconds(1000 / jobs_per_second));
         }
     };
--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/job_metrics.cpp
@@ -28,6 +28,12 @@
                      {{"queue", queue}}, duration);
 }
 
+void job_metrics::record_denied_request(const std::string& queue, const char* reason)
+{
+    metrics_.count("jl_denied_requests_total", "Requests without access, by reason",
+                   {{"queue", queue}, {"reason", reason}});
+}
+
 void job_metrics::record_first_start(const std::string& queue, std::chrono::nanoseconds wait)
 {
     metrics_.observe("jl_first_start_seconds", "Time from a submission to its first task's start",
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -17,6 +17,8 @@
     // `duration` is the time from the submission to its answer.
     void record_submission(const std::string& queue, const char* outcome,
                            std::chrono::nanoseconds duration);
+    // A caller had no access to the queue or to one of its jobs.
+    void record_denied_request(const std::string& queue, const char* reason);
     // `wait` is the time from a job's submission to the first order to start one of its tasks.
     void record_first_start(const std::string& queue, std::chrono::nanoseconds wait);
     // `duration` is the time from the job's submission to its final state.
--- a/src/jobs/lost_answers_test.cpp
+++ b/src/jobs/lost_answers_test.cpp
@@ -50,7 +50,7 @@
             fleet.workers.plans_by_job[id].duration = milliseconds(100 + random() % 2000);
             auto spec = make_job(id, 1, 3);
             spec.steps[0].gang = chance(4);
-            leader->submit(spec, [](submit_outcome) {});
+            leader->submit(spec, [](const submit_answer&) {});
         }
         if (chance(60)) {
             const auto recent = static_cast<int>(random() % 8);
--- a/src/jobs/paged_ends_test.cpp
+++ b/src/jobs/paged_ends_test.cpp
@@ -31,7 +31,7 @@
         for (int number = 0; number < job_count; ++number) {
             auto spec = make_job(job_id(number), 1, tasks_per_job);
             spec.steps[0].request = {90, 128, 0};
-            fleet.leader()->submit(spec, [](submit_outcome) {});
+            fleet.leader()->submit(spec, [](const submit_answer&) {});
         }
     }
 
--- a/src/jobs/random_faults_test.cpp
+++ b/src/jobs/random_faults_test.cpp
@@ -97,12 +97,13 @@
         }
         const auto id = std::to_string(1000000000000000 + next_job_++);
         fleet_.workers.plans_by_job[id] = {milliseconds(20 + below(1500)), 0};
-        leader->submit(make_job(id, 1 + static_cast<int>(below(2)), 1 + static_cast<int>(below(4))),
-                       [id, accepted = accepted_](submit_outcome outcome) {
-                           if (outcome == submit_outcome::accepted) {
-                               accepted->insert(id);
-                           }
-                       });
+        leader->submit(
+            {make_job(id, 1 + static_cast<int>(below(2)), 1 + static_cast<int>(below(4))), {}},
+            [id, accepted = accepted_](const submit_answer& answer) {
+                if (answer.outcome == submit_outcome::accepted) {
+                    accepted->insert(id);
+                }
+            });
     }
 
     std::string some_worker()
--- a/src/jobs/reservations_test.cpp
+++ b/src/jobs/reservations_test.cpp
@@ -151,7 +151,7 @@
         for (int number = 0; number < count; ++number) {
             auto spec = make_job(std::to_string(1000000000000000 + submitted++), 1, 1);
             spec.steps[0].request = {8000, 512, 0};
-            fleet.leader()->submit(spec, [](submit_outcome) {});
+            fleet.leader()->submit(spec, [](const submit_answer&) {});
         }
     };
     submit_short_jobs(8);
--- a/src/jobs/restart_moments_test.cpp
+++ b/src/jobs/restart_moments_test.cpp
@@ -206,9 +206,10 @@
             return;
         }
         submitted_to_ = leader;
-        fleet_.leader()->submit(make_spec(), [accepted = accepted_](submit_outcome outcome) {
-            *accepted = *accepted || outcome == submit_outcome::accepted;
-        });
+        fleet_.leader()->submit(
+            {make_spec(), {}}, [accepted = accepted_](const submit_answer& answer) {
+                *accepted = *accepted || answer.outcome == submit_outcome::accepted;
+            });
     }
 
     bool await_completion()
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -154,11 +154,13 @@
     return true;
 }
 
-std::optional<submit_outcome> test_fleet::submit(job_spec spec, milliseconds limit)
+std::optional<submit_outcome> test_fleet::submit(job_spec spec, milliseconds limit,
+                                                 const std::string& key)
 {
     // Shared, because the answer may arrive after this function has returned.
     const auto outcome = std::make_shared<std::optional<submit_outcome>>();
-    leader()->submit(std::move(spec), [outcome](submit_outcome result) { *outcome = result; });
+    leader()->submit({std::move(spec), key},
+                     [outcome](const submit_answer& answer) { *outcome = answer.outcome; });
     for (milliseconds waited{0}; waited < limit && !*outcome; waited += poll_interval) {
         timers.run_for(poll_interval);
     }
--- a/src/jobs/testing/test_fleet.h
+++ b/src/jobs/testing/test_fleet.h
@@ -131,7 +131,8 @@
 
     // Submits to the leader and runs until the outcome is known, at most for `limit`. Returns
     // nothing if it is not known by then.
-    std::optional<submit_outcome> submit(job_spec spec, milliseconds limit = milliseconds(2000));
+    std::optional<submit_outcome> submit(job_spec spec, milliseconds limit = milliseconds(2000),
+                                         const std::string& key = "");
     std::optional<cancel_outcome> cancel(const std::string& id,
                                          milliseconds limit = milliseconds(2000));
     // Runs until the job is in the state, at most for `limit`. Returns false if it is not by then.
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -68,17 +68,40 @@
             (directory / ("node-" + std::to_string(number) + ".log")).string());
     }
 
-    static std::optional<http::response> send(const endpoint& server, const std::string& method,
-                                              const std::string& target,
-                                              const std::string& body = "")
+    static http::request make_request(const std::string& method, const std::string& target,
+                                      const std::string& body)
     {
-        http::client client(server, {});
         http::request request;
         request.method = method;
         request.target = target;
         request.headers["Host"] = "plans.example";
         request.body = body;
-        return client.exchange(request, std::chrono::steady_clock::now() + 4s);
+        return request;
+    }
+
+    static std::optional<http::response> send(const endpoint& server, const std::string& method,
+                                              const std::string& target,
+                                              const std::string& body = "")
+    {
+        http::client client(server, {});
+        return client.exchange(make_request(method, target, body),
+                               std::chrono::steady_clock::now() + 4s);
+    }
+
+    // Returns the status of a query for the queue with this key, on the client's connection.
+    static int status_with_key(http::client& client, const std::string& key)
+    {
+        auto request = make_request("GET", "/plans/", "");
+        request.headers["X-Credential"] = key;
+        const auto answer = client.exchange(request, std::chrono::steady_clock::now() + 4s);
+        return answer ? answer->status : 0;
+    }
+
+    void publish_keys(int version, const std::vector<std::string>& keys) const
+    {
+        const json team = {{"name", "north"}, {"apiKeys", keys}, {"weight", 5}};
+        const json command = {{"config_version", version}, {"teams", {team}}};
+        send(platform_address, "POST", "/standin/control", command.dump());
     }
 
     bool ready(int number) const
@@ -238,6 +261,40 @@
     EXPECT_TRUE(report()["violations"].empty()) << report()["violations"].dump();
 }
 
+// Guards against keys that are not checked, that connections opened before a change still use, or
+// that are known to some nodes only. The last one would also let a revoked key in after a restart.
+TEST_F(node_fleet, keys_come_and_go_on_open_connections_at_every_node)
+{
+    publish_keys(2, {"first"});
+    std::vector<std::unique_ptr<http::client>> clients;
+    for (int number = 0; number < nodes; ++number) {
+        clients.push_back(
+            std::make_unique<http::client>(node_addresses.at(number)[0], http::client_limits{}));
+        auto& client = *clients.back();
+        EXPECT_TRUE(eventually([&] { return status_with_key(client, "unknown") == 401; }));
+        EXPECT_EQ(status_with_key(client, "first"), 200) << number;
+        EXPECT_EQ(status_with_key(client, ""), 401) << number;
+    }
+    publish_keys(3, {"first", "second"});
+    EXPECT_TRUE(eventually([&] { return status_with_key(*clients[0], "second") == 200; }));
+    for (auto& client : clients) {
+        EXPECT_EQ(status_with_key(*client, "second"), 200);
+        EXPECT_EQ(status_with_key(*client, "first"), 200);
+    }
+    publish_keys(4, {"second"});
+    EXPECT_TRUE(eventually([&] { return status_with_key(*clients[0], "first") == 401; }));
+    for (auto& client : clients) {
+        EXPECT_EQ(status_with_key(*client, "first"), 401);
+        EXPECT_EQ(status_with_key(*client, "second"), 200);
+    }
+    const int first = leader();
+    ASSERT_GE(first, 0);
+    processes[first]->kill();
+    const int other = (first + 1) % nodes;
+    ASSERT_TRUE(eventually([&] { return status_with_key(*clients[other], "second") == 200; }));
+    EXPECT_EQ(status_with_key(*clients[other], "first"), 401);
+}
+
 // Load pattern: the platform is away for seconds. Guards against telling all callers one second,
 // whatever the outage: they used up their tries before the service returned.
 TEST_F(node_fleet, refused_callers_are_asked_back_later_the_longer_the_outage_lasts)
