--- a/src/decisions/job_order.cpp
+++ b/src/decisions/job_order.cpp
@@ -9,19 +9,25 @@
 namespace {
 
 // In the order in which jobs are started.
-enum class urgency_class { long_running, on_time, late, expired };
+enum class urgency_class { long_running, on_time, late, beyond_rate, expired };
 
 urgency_class classify(const job_demand& job)
 {
     if (job.long_running) {
         return urgency_class::long_running;
     }
-    if (job.critical_path <= job.time_left) {
-        return urgency_class::on_time;
+    if (job.critical_path > job.late_time_left) {
+        return urgency_class::expired;
     }
-    return job.critical_path <= job.late_time_left ? urgency_class::late : urgency_class::expired;
+    if (job.beyond_rate) {
+        return urgency_class::beyond_rate;
+    }
+    return job.critical_path <= job.time_left ? urgency_class::on_time : urgency_class::late;
 }
 
+// More than the priorities that an operator can give.
+constexpr int priorities_per_class = 10000000;
+
 } // namespace
 
 std::vector<std::size_t> order_jobs(const std::vector<job_demand>& jobs)
@@ -43,4 +49,9 @@
     return order;
 }
 
+int order_rank(const job_demand& job)
+{
+    return static_cast<int>(classify(job)) * priorities_per_class + job.priority;
+}
+
 } // namespace jl::decisions
