Apply quotas, shares, admission and rack waits when tasks are started

A pass derives what each team uses or may use from the workers, the open starts and the unresolved tasks; open starts that the worker is known to reject do not count. Shares order the jobs of a pool within their class and priority. Jobs beyond a team's rate are refused with 429 while the pool's backlog exceeds their slack. Tasks and gangs wait for a rack while that pays. Everything but the rack waits needs teams in the configuration.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -81,8 +81,9 @@
         advice_book_ =
             std::make_unique<advice_book>(timers_, *ports_.advisor, [this] { schedule_tick(); });
     }
-    scheduler_ = std::make_unique<job_scheduler>(timers_, jobs_, *runner_, reservations_,
-                                                 advice_book_.get());
+    scheduler_ =
+        std::make_unique<job_scheduler>(timers_, jobs_, *runner_, reservations_, advice_book_.get(),
+                                        *ports_.metrics, settings_.remote_slowdown_factor);
     if (ports_.vms != nullptr) {
         create_vm_managers();
     }
@@ -142,6 +143,7 @@
 {
     auto& job = *ended.owner;
     auto& step = *ended.owning_step;
+    scheduler_->note_task_done(ended);
     if (ended.spec().gang) {
         // The end of one member completes the whole gang.
         for (auto& member : step.tasks) {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
 #include "jobs/watched_prefix.h"
 #include "jobs/worker_registry.h"
 #include "jobs/worker_roster.h"
+#include "teams/job_rates.h"
 
 namespace jl::jobs {
 
@@ -40,6 +42,7 @@
     milliseconds status_retention{120000}; // the state of a finished job must be known this long
     milliseconds vm_order_interval{3000};  // minimum between orders of two leaders to one VM
     milliseconds move_time{1500};          // a VM takes this long to move to another pool
+    double remote_slowdown_factor = 1.0;   // relative run time of a task away from its data
 };
 
 // The interfaces through which the engine reaches other components. All must outlive the engine.
@@ -116,6 +119,10 @@
     using submit_callback = std::function<void(const submit_answer&)>;
     void accept(submission submitted, net::boot_time received, const submit_callback& done);
     void refuse(const job_spec& spec, net::boot_time received, const submit_callback& done);
+    // Returns true if the team's rate and quota and the load of the pool let the job in. Otherwise
+    // answers the caller.
+    bool admit_job(const job_spec& spec, const queue_config& queue, bool within_rate,
+                   net::boot_time received, const submit_callback& done);
     // True if an earlier attempt to submit the job waits for the store.
     bool is_held(const std::string& id) const;
     void accept_held_submissions();
@@ -141,6 +148,7 @@
     void adjust_filler_pace(worker_handle& handle);
     void create_vm_managers();
     void manage_vms();
+    void publish_team_usage();
     void run_housekeeping();
 
     net::timer_service& timers_;
@@ -182,6 +190,10 @@
     };
     std::deque<held_submission> held_submissions_;
 
+    teams::job_rates job_rates_;
+    net::boot_time team_usage_published_at_{};
+    std::mt19937 random_{std::random_device{}()};
+
     net::boot_time last_tick_{};
     net::boot_clock::duration last_tick_duration_{};
     net::timer_service::timer_id tick_timer_ = 0;
--- a/src/jobs/engine_periodic.cpp
+++ b/src/jobs/engine_periodic.cpp
@@ -7,6 +7,7 @@
 #include "decisions/filler_pace.h"
 #include "jobs/capacity_manager.h"
 #include "jobs/engine.h"
+#include "jobs/team_usage.h"
 #include "jobs/vm_directory.h"
 #include "jobs/vm_order_log.h"
 #include "jobs/wave_manager.h"
@@ -22,6 +23,7 @@
 // leaves most of the CPU to messages from workers and callers, however large the fleet is.
 constexpr int tick_interval_factor = 4;
 constexpr auto housekeeping_interval = 100ms;
+constexpr auto team_usage_interval = 5s; // of the metrics
 // The record of a finished job is kept for this time beyond the required `status_retention`.
 constexpr auto retention_margin = 20s;
 
@@ -125,6 +127,7 @@
     if (ready()) {
         relocate_long_running_tasks();
         manage_vms();
+        publish_team_usage();
     }
     for (const auto& worker : runner_->forget_unregistered()) {
         roster_.erase(worker);
@@ -132,6 +135,19 @@
     tick();
 }
 
+void engine::publish_team_usage()
+{
+    const auto now = timers_.now();
+    if (!config_->checks_keys || now < team_usage_published_at_ + team_usage_interval) {
+        return;
+    }
+    team_usage_published_at_ = now;
+    const auto usage = team_usage(*config_, *runner_, jobs_);
+    for (const auto& team : config_->teams.all()) {
+        ports_.metrics->set_team_usage(team.name, usage.used(team.name), team.quota);
+    }
+}
+
 void engine::manage_vms()
 {
     if (!vm_directory_ || !ready() || !may_act_()) {
--- a/src/jobs/engine_submissions.cpp
+++ b/src/jobs/engine_submissions.cpp
@@ -4,8 +4,10 @@
 #include <utility>
 
 #include "base/log.h"
+#include "decisions/team_admission.h"
 #include "jobs/capacity_manager.h"
 #include "jobs/engine.h"
+#include "teams/usage.h"
 
 namespace jl::jobs {
 
@@ -75,7 +77,14 @@
         return;
     }
     spec.team = access.team;
+    const auto* const team = config_->teams.find(spec.team);
+    const bool within_rate =
+        team == nullptr || job_rates_.take(team->name, team->weight, timers_.now());
+    if (!admit_job(spec, *queue, within_rate, received, done)) {
+        return;
+    }
     auto& job = jobs_.insert(std::move(spec));
+    job.beyond_rate = !within_rate;
     job.accepted = timers_.wall_now() - (timers_.now() - received);
     job.objective = received + completion_objective(*queue, job.spec);
     job.services = {queue->service};
@@ -95,6 +104,43 @@
     writer_->mark_dirty(job_prefix + job.spec.id);
 }
 
+bool engine::admit_job(const job_spec& spec, const queue_config& queue, bool within_rate,
+                       net::boot_time received, const submit_callback& done)
+{
+    const auto* const team = config_->teams.find(spec.team);
+    if (team == nullptr) {
+        return true;
+    }
+    decisions::admission_request request;
+    request.fits_quota =
+        std::all_of(spec.steps.begin(), spec.steps.end(), [team](const step_spec& step) {
+            return teams::fits_quota(team->quota, step.request, step.gang ? step.count : 1);
+        });
+    request.within_rate = within_rate;
+    request.rate_delay = job_rates_.delay(team->name, team->weight, timers_.now());
+    request.backlog = scheduler_->backlog(queue.service);
+    request.slack = completion_objective(queue, spec) - critical_path_duration(spec);
+    const auto decision = decisions::admit(request);
+    if (decision == decisions::admission::accepted) {
+        return true;
+    }
+    std::uniform_real_distribution<double> spread(0.0, 1.0);
+    const auto retry_after = decisions::admission_retry_after(request, decision, spread(random_));
+    log_event(log_level::info, "submission.refused",
+              {{"job", spec.id},
+               {"queue", spec.queue},
+               {"team", spec.team},
+               {"reason", decisions::to_string(decision)},
+               {"backlog_ms",
+                std::to_string(std::chrono::duration_cast<milliseconds>(request.backlog).count())},
+               {"retry_after_s", std::to_string(retry_after.count())}});
+    ports_.metrics->record_submission(spec.queue, decisions::to_string(decision),
+                                      timers_.now() - received);
+    ports_.metrics->record_team_refusal(spec.team, decisions::to_string(decision));
+    done({submit_outcome::overloaded, retry_after});
+    return false;
+}
+
 void engine::refuse(const job_spec& spec, net::boot_time received, const submit_callback& done)
 {
     const auto held_for =
--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/job_metrics.cpp
@@ -34,6 +34,33 @@
                    {{"queue", queue}, {"reason", reason}});
 }
 
+void job_metrics::record_team_refusal(const std::string& team, const char* reason)
+{
+    metrics_.count("jl_team_refusals_total", "Jobs refused because of a team's quota or rate",
+                   {{"team", team}, {"reason", reason}});
+}
+
+void job_metrics::set_team_usage(const std::string& team, const task_resources& used,
+                                 const task_resources& quota)
+{
+    const auto set = [&](const char* resource, std::int64_t in_use, std::int64_t limit) {
+        metrics_.set("jl_team_usage", "What the tasks of a team use or may use",
+                     {{"team", team}, {"resource", resource}}, static_cast<double>(in_use));
+        metrics_.set("jl_team_quota", "Quota of a team; 0: no limit",
+                     {{"team", team}, {"resource", resource}}, static_cast<double>(limit));
+    };
+    set("millicores", used.millicores, quota.millicores);
+    set("memory_mb", used.memory_mb, quota.memory_mb);
+    set("accelerators", used.accelerators, quota.accelerators);
+}
+
+void job_metrics::record_locality_wait(const char* outcome, std::chrono::nanoseconds waited)
+{
+    metrics_.observe("jl_locality_wait_seconds",
+                     "Time that a task waited for its preferred rack, by where it started",
+                     {{"outcome", outcome}}, waited);
+}
+
 void job_metrics::record_first_start(const std::string& queue, std::chrono::nanoseconds wait)
 {
     metrics_.observe("jl_first_start_seconds", "Time from a submission to its first task's start",
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -19,6 +19,14 @@
                            std::chrono::nanoseconds duration);
     // A caller had no access to the queue or to one of its jobs.
     void record_denied_request(const std::string& queue, const char* reason);
+    // A job was refused because of its team's quota or rate.
+    void record_team_refusal(const std::string& team, const char* reason);
+    // What the tasks of a team use or may use, and its quota; 0: no limit.
+    void set_team_usage(const std::string& team, const task_resources& used,
+                        const task_resources& quota);
+    // A task has waited for its preferred rack and starts there ("preferred") or elsewhere
+    // ("remote").
+    void record_locality_wait(const char* outcome, std::chrono::nanoseconds waited);
     // `wait` is the time from a job's submission to the first order to start one of its tasks.
     void record_first_start(const std::string& queue, std::chrono::nanoseconds wait);
     // `duration` is the time from the job's submission to its final state.
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "base/log.h"
+#include "decisions/fair_shares.h"
 #include "decisions/job_order.h"
 #include "jobs/pool_candidates.h"
+#include "jobs/team_usage.h"
 
 namespace jl::jobs {
 
@@ -25,17 +29,17 @@
     return found == nullptr || found->workers_check_capacity;
 }
 
-// Returns the estimated time until the task has ended if it runs now or starts now.
-milliseconds remaining_duration(const task& target, net::boot_time now)
+// Returns the time until the task has ended if it runs now or starts now, and takes `duration` from
+// its start to its end.
+milliseconds remaining_duration(const task& target, milliseconds duration, net::boot_time now)
 {
-    const auto estimate = target.spec().estimate;
     if (target.phase == task_phase::done) {
         return 0ms;
     }
     if (target.phase != task_phase::running) {
-        return estimate;
+        return duration;
     }
-    const auto reported = estimate * (full_percent - target.percent) / full_percent;
+    const auto reported = duration * (full_percent - target.percent) / full_percent;
     const auto since_report = std::chrono::duration_cast<milliseconds>(now - target.changed_at);
     return std::max(milliseconds(0), reported - since_report);
 }
@@ -44,7 +48,7 @@
 {
     milliseconds longest{0};
     for (const auto& task : step.tasks) {
-        longest = std::max(longest, remaining_duration(task, now));
+        longest = std::max(longest, remaining_duration(task, task.spec().estimate, now));
     }
     return longest;
 }
@@ -80,6 +84,83 @@
     }
 }
 
+// Returns what the tasks of the job request that can start now.
+task_resources waiting_demand(const job& target, net::boot_time now)
+{
+    task_resources total;
+    for (const auto& occurrence : target.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& progress = occurrence.steps[step];
+            if (progress.complete() || !target.step_ready(occurrence, step)) {
+                continue;
+            }
+            for (const auto& task : progress.tasks) {
+                if (is_waiting(task, now)) {
+                    total += task.spec().request;
+                }
+            }
+        }
+    }
+    return total;
+}
+
+task_resources size_of(const pool_candidates& pool)
+{
+    task_resources total;
+    for (const auto* const handle : pool.worker_handles) {
+        total += handle->info().capacity;
+    }
+    return total;
+}
+
+// The teams that use or ask for a pool, with their shares of it. Jobs without a team share one.
+class pool_teams {
+public:
+    explicit pool_teams(const teams::team_directory& teams) : teams_(teams) {}
+
+    std::size_t index_of(const std::string& team)
+    {
+        const auto [found, is_new] = indexes_.emplace(team, shares_.size());
+        if (is_new) {
+            shares_.push_back({weight_of(team), {}});
+        }
+        return found->second;
+    }
+
+    void add_use(const std::string& team, const task_resources& request)
+    {
+        shares_[index_of(team)].used += request;
+    }
+
+    const std::vector<decisions::team_share>& shares() const { return shares_; }
+
+private:
+    // Jobs without a team have the weight of the smallest one.
+    double weight_of(const std::string& team) const
+    {
+        if (const auto* const config = teams_.find(team)) {
+            return config->weight;
+        }
+        double smallest = teams_.all().empty() ? 1.0 : teams_.all().front().weight;
+        for (const auto& config : teams_.all()) {
+            smallest = std::min(smallest, config.weight);
+        }
+        return smallest;
+    }
+
+    const teams::team_directory& teams_;
+    std::vector<decisions::team_share> shares_;
+    std::unordered_map<std::string, std::size_t> indexes_; // in `shares_`
+};
+
+// Time that the pool needs for this work.
+std::chrono::nanoseconds time_for(double core_seconds, const pool_candidates& pool)
+{
+    const double cores = static_cast<double>(size_of(pool).millicores) / 1000.0;
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::chrono::duration<double>(cores > 0 ? core_seconds / cores : 0.0));
+}
+
 bool has_waiting_task(const job& target, net::boot_time now)
 {
     return find_task_if(target, [now](const task& candidate) {
@@ -130,14 +211,22 @@
 }
 
 job_scheduler::job_scheduler(net::timer_service& timers, job_table& jobs, task_runner& runner,
-                             const vm_reservations& reservations, advice_book* advice)
-    : timers_(timers), jobs_(jobs), runner_(runner), reservations_(reservations), advice_(advice)
+                             const vm_reservations& reservations, advice_book* advice,
+                             job_metrics& metrics, double remote_slowdown_factor)
+    : timers_(timers),
+      jobs_(jobs),
+      runner_(runner),
+      reservations_(reservations),
+      advice_(advice),
+      metrics_(metrics),
+      remote_slowdown_factor_(remote_slowdown_factor)
 {
 }
 
 void job_scheduler::run_pass(const fleet_config& config)
 {
     const auto now = timers_.now();
+    backlogs_.clear();
     std::map<std::string, std::vector<job*>> by_service;
     for (auto* const target : jobs_.active()) {
         if (!target->durable() || !target->active() ||
@@ -157,11 +246,26 @@
         pools.emplace(service, pool_candidates(workers_check_capacity(config, service), now));
     }
     add_usable_workers(pools);
+    usage_.reset();
+    if (config.checks_keys) {
+        usage_ = team_usage(config, runner_, jobs_);
+    }
     for (const auto& [service, jobs] : by_service) {
         schedule_pool(config, jobs, pools.at(service));
     }
 }
 
+std::chrono::nanoseconds job_scheduler::backlog(const std::string& service) const
+{
+    const auto found = backlogs_.find(service);
+    return found == backlogs_.end() ? 0ns : found->second;
+}
+
+bool job_scheduler::quota_allows(const job& target, const step_spec& spec, int count) const
+{
+    return !usage_ || usage_->allows(target.spec.team, spec.request, count);
+}
+
 // Adds to each given pool its workers that accept tasks.
 void job_scheduler::add_usable_workers(std::map<std::string, pool_candidates>& pools) const
 {
@@ -199,6 +303,24 @@
     if (pool.candidates.empty()) {
         return;
     }
+    const auto order = order_pool(config, jobs, pool);
+    // Before any other start, which could be confused with that of a suspect.
+    for (const auto index : order) {
+        auto& target = *jobs[index];
+        if (target.has_crash_evidence) {
+            start_suspects(target, *config.find_queue(target.spec.queue), pool);
+        }
+    }
+    for (const auto index : order) {
+        auto& target = *jobs[index];
+        start_job(target, *config.find_queue(target.spec.queue), pool);
+    }
+}
+
+std::vector<std::size_t> job_scheduler::order_pool(const fleet_config& config,
+                                                   const std::vector<job*>& jobs,
+                                                   const pool_candidates& pool)
+{
     std::vector<decisions::job_demand> demands;
     for (std::size_t index = 0; index < jobs.size(); ++index) {
         const auto& target = *jobs[index];
@@ -213,20 +335,30 @@
         demand.late_time_left = demand.time_left + (late_credit_objectives - 1) * objective;
         demand.critical_path = remaining_critical_path(target, pool.now);
         demand.core_seconds = remaining_core_seconds(target);
+        demand.beyond_rate = target.beyond_rate;
         demands.push_back(demand);
     }
-    const auto order = decisions::order_jobs(demands);
-    // Before any other start, which could be confused with that of a suspect.
-    for (const auto index : order) {
-        auto& target = *jobs[index];
-        if (target.has_crash_evidence) {
-            start_suspects(target, *config.find_queue(target.spec.queue), pool);
+    auto order = decisions::order_jobs(demands);
+    if (!config.checks_keys) {
+        return order;
+    }
+    double core_seconds = 0;
+    pool_teams teams(config.teams);
+    for (const auto* const handle : pool.worker_handles) {
+        for (const auto* const assigned : handle->assigned) {
+            teams.add_use(assigned->owner->spec.team, assigned->spec().request);
         }
     }
+    std::vector<decisions::team_job> team_jobs;
     for (const auto index : order) {
-        auto& target = *jobs[index];
-        start_job(target, *config.find_queue(target.spec.queue), pool);
+        const auto& target = *jobs[index];
+        core_seconds += demands[index].long_running ? 0.0 : demands[index].core_seconds;
+        team_jobs.push_back({index, teams.index_of(target.spec.team),
+                             decisions::order_rank(demands[index]),
+                             waiting_demand(target, pool.now)});
     }
+    backlogs_[config.find_queue(jobs.front()->spec.queue)->service] = time_for(core_seconds, pool);
+    return decisions::order_by_share(team_jobs, teams.shares(), size_of(pool));
 }
 
 void job_scheduler::start_job(job& target, const queue_config& queue, pool_candidates& pool)
@@ -261,6 +393,9 @@
                                  queue.ticket_validity);
     }
     const auto& spec = target.spec.steps[step];
+    if (!quota_allows(target, spec, spec.gang ? spec.count : 1)) {
+        return; // before a worker is kept free for it
+    }
     if (pool.unplaceable.rules_out(demand_of(*waiting.front())) && !spec.long_running) {
         return;
     }
@@ -274,7 +409,8 @@
         return;
     }
     for (auto* const task : waiting) {
-        if (!start_one(*task, queue, pool)) {
+        if (!quota_allows(target, spec, 1) ||
+            start_one(*task, queue, pool) == start_outcome::no_worker) {
             return; // the tasks of a step are alike: no other one fits either
         }
     }
@@ -342,8 +478,12 @@
             }
         }
     }
+    const auto& spec = tasks.front()->spec();
     std::vector<isolated_place> places;
     for (auto* const suspect : tasks) {
+        if (!quota_allows(*suspect->owner, spec, static_cast<int>(places.size()) + 1)) {
+            break;
+        }
         const auto worker = decisions::choose_isolated_worker(demand_of(*suspect), job,
                                                               used_vms(*suspect), candidates);
         if (!worker) {
@@ -404,12 +544,20 @@
     }
 }
 
-// Starts all members of the gang, or none if one of them fits nowhere.
-bool job_scheduler::start_gang(const std::vector<task*>& members, pool_candidates& pool)
+std::vector<std::size_t> job_scheduler::place_gang(const std::vector<task*>& members,
+                                                   std::string_view rack,
+                                                   const pool_candidates& pool)
 {
     auto candidates = pool.candidates;
     std::vector<std::size_t> chosen;
     const auto& spec = members.front()->spec();
+    if (!rack.empty()) {
+        for (auto& candidate : candidates) {
+            if (candidate.rack != rack) {
+                candidate.free_memory_mb = -1; // excludes the worker
+            }
+        }
+    }
     for (const auto* const member : members) {
         auto demand = demand_of(*member);
         if (spec.same_rack && !chosen.empty()) {
@@ -417,20 +565,175 @@
         }
         const auto worker = decisions::choose_worker(demand, candidates);
         if (!worker) {
-            return false;
+            return {};
         }
         subtract_demand(candidates[*worker], spec);
         ++candidates[*worker].tasks_of_step;
         chosen.push_back(*worker);
     }
+    return chosen;
+}
+
+std::vector<std::size_t> job_scheduler::place_gang_on_one_rack(const std::vector<task*>& members,
+                                                               const pool_candidates& pool)
+{
+    std::set<std::string_view> racks;
+    for (const auto& candidate : pool.candidates) {
+        racks.insert(candidate.rack);
+    }
+    for (const auto rack : racks) {
+        auto chosen = rack.empty() ? std::vector<std::size_t>() : place_gang(members, rack, pool);
+        if (!chosen.empty()) {
+            return chosen;
+        }
+    }
+    return {};
+}
+
+// Starts all members of the gang, or none if one of them fits nowhere.
+void job_scheduler::start_gang(const std::vector<task*>& members, pool_candidates& pool)
+{
+    const bool same_rack = members.front()->spec().same_rack;
+    auto chosen = same_rack ? place_gang_on_one_rack(members, pool) : std::vector<std::size_t>();
+    const bool on_one_rack = !chosen.empty();
+    if (!on_one_rack) {
+        chosen = place_gang(members, "", pool);
+    }
+    if (chosen.empty() || (same_rack && !on_one_rack && gang_waits_for_rack(members, pool))) {
+        return;
+    }
     align_gang(members);
     for (std::size_t index = 0; index < members.size(); ++index) {
+        members[index]->on_remote_rack = same_rack && !on_one_rack;
         launch(*members[index], chosen[index], {}, pool);
     }
+}
+
+milliseconds job_scheduler::expected_duration(const task& target) const
+{
+    const auto& spec = target.spec();
+    return durations_.expected(target.owner->spec.queue, spec.image, spec.estimate);
+}
+
+void job_scheduler::note_task_done(const task& ended)
+{
+    const bool whole_run_seen = ended.start_sent && !runner_.started_by_former_leader(ended) &&
+                                ended.checkpoint.empty() && ended.pace == full_percent;
+    if (!whole_run_seen) {
+        return;
+    }
+    const std::chrono::duration<double, std::milli> actual = timers_.now() - ended.start_sent_at;
+    const double factor = ended.on_remote_rack ? remote_slowdown_factor_ : 1.0;
+    durations_.record(ended.owner->spec.queue, ended.spec().image, ended.spec().estimate,
+                      milliseconds(static_cast<std::int64_t>(actual.count() / factor)));
+}
+
+// Covers the tasks that end by themselves. What is free on a worker counts with the first end
+// there, because it was too little for the task that waits.
+decisions::rack_forecast& job_scheduler::forecast_of(std::string_view rack,
+                                                     pool_candidates& pool) const
+{
+    const auto [found, is_new] = pool.rack_forecasts.try_emplace(rack);
+    auto& forecast = found->second;
+    if (!is_new) {
+        return forecast;
+    }
+    for (std::size_t index = 0; index < pool.candidates.size(); ++index) {
+        const auto& candidate = pool.candidates[index];
+        if (candidate.rack != rack || !candidate.isolated_job.empty()) {
+            continue;
+        }
+        task_resources free{std::max<std::int64_t>(0, candidate.free_millicores),
+                            std::max<std::int64_t>(0, candidate.free_memory_mb),
+                            std::max<std::int64_t>(0, candidate.free_accelerators)};
+        for (const auto* const assigned : pool.worker_handles[index]->assigned) {
+            if (assigned->spec().long_running) {
+                continue;
+            }
+            auto amount = assigned->spec().request;
+            amount += std::exchange(free, {});
+            forecast.add_end(remaining_duration(*assigned, expected_duration(*assigned), pool.now),
+                             amount);
+        }
+    }
+    return forecast;
+}
+
+bool job_scheduler::pays_to_wait(task& target, std::optional<std::chrono::nanoseconds> rack_wait,
+                                 net::boot_time now)
+{
+    const bool waits_already = target.rack_wait_since != net::boot_time{};
+    const auto& spec = target.owner->spec;
+    decisions::locality_choice choice;
+    choice.preferred_duration = expected_duration(target);
+    choice.remote_factor = remote_slowdown_factor_;
+    choice.preferred_wait = rack_wait;
+    choice.waited = waits_already ? now - target.rack_wait_since : 0ns;
+    choice.time_left = target.owner->objective - now;
+    choice.later_steps =
+        critical_paths(spec)[static_cast<std::size_t>(target.step)] - target.spec().estimate;
+    if (!decisions::waits_for_preferred_rack(choice)) {
+        return false;
+    }
+    if (!waits_already) {
+        target.rack_wait_since = now;
+        log_event(
+            log_level::info, "task.waits_for_rack",
+            {{"task", target.name().to_string()},
+             {"rack", target.spec().preferred_rack},
+             {"expected_ms",
+              std::to_string(std::chrono::duration_cast<milliseconds>(*rack_wait).count())},
+             {"duration_ms",
+              std::to_string(
+                  std::chrono::duration_cast<milliseconds>(choice.preferred_duration).count())}});
+    }
+    return true;
+}
+
+bool job_scheduler::waits_for_rack(task& target, const decisions::candidate_worker& worker,
+                                   pool_candidates& pool)
+{
+    const auto& spec = target.spec();
+    target.on_remote_rack = !spec.preferred_rack.empty() && worker.rack != spec.preferred_rack;
+    if (!target.on_remote_rack || spec.long_running || remote_slowdown_factor_ <= 1.0) {
+        return false;
+    }
+    auto& forecast = forecast_of(spec.preferred_rack, pool);
+    if (!pays_to_wait(target, forecast.time_until_free(spec.request), pool.now)) {
+        return false;
+    }
+    forecast.claim(spec.request);
     return true;
 }
 
-bool job_scheduler::start_one(task& target, const queue_config& queue, pool_candidates& pool)
+bool job_scheduler::gang_waits_for_rack(const std::vector<task*>& members, pool_candidates& pool)
+{
+    if (remote_slowdown_factor_ <= 1.0 || members.front()->spec().long_running) {
+        return false;
+    }
+    task_resources total;
+    for (const auto* const member : members) {
+        total += member->spec().request;
+    }
+    std::optional<std::chrono::nanoseconds> shortest;
+    decisions::rack_forecast* earliest = nullptr;
+    for (const auto& candidate : pool.candidates) {
+        auto& forecast = forecast_of(candidate.rack, pool);
+        const auto wait = forecast.time_until_free(total);
+        if (wait && (!shortest || *wait < *shortest)) {
+            shortest = wait;
+            earliest = &forecast;
+        }
+    }
+    if (!pays_to_wait(*members.front(), shortest, pool.now)) {
+        return false;
+    }
+    earliest->claim(total);
+    return true;
+}
+
+job_scheduler::start_outcome job_scheduler::start_one(task& target, const queue_config& queue,
+                                                      pool_candidates& pool)
 {
     const auto demand = demand_of(target);
     if (!needs_ticket(queue)) {
@@ -440,10 +743,13 @@
             if (demand.long_running) {
                 reserve_worker(demand, pool);
             }
-            return false;
+            return start_outcome::no_worker;
+        }
+        if (waits_for_rack(target, pool.candidates[*worker], pool)) {
+            return start_outcome::waits_for_rack;
         }
         launch(target, *worker, {}, pool);
-        return true;
+        return start_outcome::started;
     }
     std::vector<decisions::candidate_worker> allowed;
     std::vector<std::size_t> indexes;
@@ -456,13 +762,13 @@
     }
     const auto worker = decisions::choose_worker(demand, allowed);
     if (!worker) {
-        return false;
+        return start_outcome::no_worker;
     }
     const auto chosen = indexes[*worker];
     start_options options;
     options.ticket = *advice_->ticket(step, pool.worker_handles[chosen]->info().id);
     launch(target, chosen, std::move(options), pool);
-    return true;
+    return start_outcome::started;
 }
 
 // Keeps one worker free on which `demand` fits once enough of its tasks have ended, if there is
@@ -479,6 +785,14 @@
 {
     subtract_demand(pool.candidates[worker], target.spec());
     ++pool.candidates[worker].tasks_of_step;
+    if (target.rack_wait_since != net::boot_time{}) {
+        metrics_.record_locality_wait(target.on_remote_rack ? "remote" : "preferred",
+                                      pool.now - target.rack_wait_since);
+        target.rack_wait_since = {};
+    }
+    if (usage_) {
+        usage_->add(target.owner->spec.team, target.spec().request);
+    }
     runner_.start(target, *pool.worker_handles[worker], std::move(options));
 }
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -1,16 +1,23 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "decisions/duration_model.h"
+#include "decisions/locality_wait.h"
 #include "decisions/task_placement.h"
 #include "jobs/advice_book.h"
+#include "jobs/job_metrics.h"
 #include "jobs/job_table.h"
 #include "jobs/task_runner.h"
 #include "jobs/vm_reservations.h"
 #include "net/timer_service.h"
+#include "teams/usage.h"
 
 namespace jl::jobs {
 
@@ -20,12 +27,18 @@
 // placement (decisions/task_placement.h) to the job table and the workers. Not thread-safe.
 class job_scheduler {
 public:
-    // If `advice` is null, tasks start without the advisor's permission.
+    // If `advice` is null, tasks start without the advisor's permission. A task outside its
+    // preferred rack takes `remote_slowdown_factor` times as long.
     job_scheduler(net::timer_service& timers, job_table& jobs, task_runner& runner,
-                  const vm_reservations& reservations, advice_book* advice);
+                  const vm_reservations& reservations, advice_book* advice, job_metrics& metrics,
+                  double remote_slowdown_factor);
 
     // Starts all tasks that can start now.
     void run_pass(const fleet_config& config);
+    // Time that the pool needs for the work that waited in the last pass; 0 if none did.
+    std::chrono::nanoseconds backlog(const std::string& service) const;
+    // Learns from the duration of a task that has ended as done.
+    void note_task_done(const task& ended);
     // True if a worker other than the present one has room for the task now.
     bool fits_elsewhere(const task& target, const fleet_config& config) const;
 
@@ -33,6 +46,11 @@
     void add_usable_workers(std::map<std::string, pool_candidates>& pools) const;
     void schedule_pool(const fleet_config& config, const std::vector<job*>& jobs,
                        pool_candidates& pool);
+    // Returns the jobs, by index, in the order in which their tasks are started.
+    std::vector<std::size_t> order_pool(const fleet_config& config, const std::vector<job*>& jobs,
+                                        const pool_candidates& pool);
+    // True if the quota of the job's team allows `count` more tasks of the step.
+    bool quota_allows(const job& target, const step_spec& spec, int count) const;
     void start_job(job& target, const queue_config& queue, pool_candidates& pool);
     void start_step(job& target, occurrence_progress& occurrence, std::size_t step,
                     const queue_config& queue, pool_candidates& pool);
@@ -56,8 +74,25 @@
     {
         return queue.needs_advice && advice_ != nullptr;
     }
-    bool start_gang(const std::vector<task*>& members, pool_candidates& pool);
-    bool start_one(task& target, const queue_config& queue, pool_candidates& pool);
+    void start_gang(const std::vector<task*>& members, pool_candidates& pool);
+    // Returns a worker for each member, by its index in the pool's candidates; empty if there is
+    // none for one of them. `rack`: on which all of them have to be; empty: any.
+    static std::vector<std::size_t> place_gang(const std::vector<task*>& members,
+                                               std::string_view rack, const pool_candidates& pool);
+    // The same on one rack, if there is a rack for the whole gang.
+    static std::vector<std::size_t> place_gang_on_one_rack(const std::vector<task*>& members,
+                                                           const pool_candidates& pool);
+    enum class start_outcome { started, waits_for_rack, no_worker };
+    start_outcome start_one(task& target, const queue_config& queue, pool_candidates& pool);
+    // True if the task does better to wait for its preferred rack than to start on the worker.
+    bool waits_for_rack(task& target, const decisions::candidate_worker& worker,
+                        pool_candidates& pool);
+    // The same for a gang that fits on no single rack.
+    bool gang_waits_for_rack(const std::vector<task*>& members, pool_candidates& pool);
+    bool pays_to_wait(task& target, std::optional<std::chrono::nanoseconds> rack_wait,
+                      net::boot_time now);
+    decisions::rack_forecast& forecast_of(std::string_view rack, pool_candidates& pool) const;
+    milliseconds expected_duration(const task& target) const;
     void reserve_worker(const decisions::task_demand& demand, pool_candidates& pool);
     void launch(task& target, std::size_t worker, start_options options, pool_candidates& pool);
 
@@ -66,6 +101,12 @@
     task_runner& runner_;
     const vm_reservations& reservations_;
     advice_book* advice_;
+    job_metrics& metrics_;
+    double remote_slowdown_factor_;
+    decisions::duration_model durations_;
+    // What each team uses; without a value, the configuration names no teams. Valid during a pass.
+    std::optional<teams::usage_account> usage_;
+    std::map<std::string, std::chrono::nanoseconds> backlogs_; // by service
 };
 
 // Returns JOB.OCCURRENCE.STEP, which identifies the task's step towards the advisor.
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -75,6 +75,9 @@
     net::boot_time may_be_stopping_until{}; // by an order of the former leader
     int order_attempts = 0;                 // how often the last order was sent
     bool start_sent = false;                // the last start has been sent to `worker`
+    bool on_remote_rack = false;            // the last start was outside the preferred rack
+    // Since when it waits for its preferred rack; the default value: it does not wait for it.
+    net::boot_time rack_wait_since{};
     // A report has listed the run, and named the incarnation of `worker` that has it. The answer to
     // a start does not tell which one gave it.
     bool reported = false;
@@ -125,8 +128,9 @@
     job_state durable_state = job_state::queued; // state in the last version that was stored
     bool has_crash_evidence = false;             // some task has lost its worker
     bool any_started = false;                    // some task is known to have begun
-    std::optional<crash_report> given_up;        // the cause, if the job was given up
-    net::boot_time finished_at{};                // when the state became final
+    bool beyond_rate = false;             // its team had used up its rate of jobs; not recorded
+    std::optional<crash_report> given_up; // the cause, if the job was given up
+    net::boot_time finished_at{};         // when the state became final
     // Called once the store holds the latest version, or with false if the leader gives up first.
     std::vector<std::function<void(bool durable)>> durability_callbacks;
 
--- a/src/jobs/open_starts.cpp
+++ b/src/jobs/open_starts.cpp
@@ -21,6 +21,14 @@
     }
 }
 
+void open_starts::on_run_closed(const task_name& task, std::int64_t run)
+{
+    const auto found = runs_.find({task.to_string(), run});
+    if (found != runs_.end()) {
+        found->second.closed = true;
+    }
+}
+
 int open_starts::attempts(const task_name& task, std::int64_t run) const
 {
     const auto found = runs_.find({task.to_string(), run});
@@ -37,6 +45,17 @@
     return result;
 }
 
+std::vector<open_starts::task_run> open_starts::startable_runs() const
+{
+    std::vector<task_run> result;
+    for (const auto& [key, open] : runs_) {
+        if (!open.closed) {
+            result.push_back({open.task, key.second});
+        }
+    }
+    return result;
+}
+
 void open_starts::expire(net::boot_time sent_before)
 {
     for (auto next = runs_.begin(); next != runs_.end();) {
--- a/src/jobs/open_starts_test.cpp
+++ b/src/jobs/open_starts_test.cpp
@@ -33,6 +33,19 @@
     }
 }
 
+// Guards against a repetition of a start whose run has ended and that counts as work that may still
+// begin, for as long as late starts are possible.
+TEST(open_starts, closed_run_stays_open_for_later_incarnations_only)
+{
+    open_starts starts;
+    starts.on_sent(task, 1, start);
+    starts.on_sent(task, 2, start);
+    starts.on_run_closed(task, 1);
+    EXPECT_EQ(starts.runs().size(), 2U);
+    ASSERT_EQ(starts.startable_runs().size(), 1U);
+    EXPECT_EQ(starts.startable_runs().front().run, 2);
+}
+
 TEST(open_starts, runs_are_kept_apart)
 {
     open_starts starts;
--- a/src/jobs/pool_candidates.h
+++ b/src/jobs/pool_candidates.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "decisions/locality_wait.h"
 #include "decisions/task_placement.h"
 #include "jobs/task_runner.h"
 
@@ -46,6 +47,8 @@
     std::vector<decisions::candidate_worker> candidates;
     std::vector<worker_handle*> worker_handles; // of `candidates`, in the same order
     decisions::unplaceable_demands unplaceable;
+    // When capacity becomes free on the racks that tasks wait for.
+    std::unordered_map<std::string_view, decisions::rack_forecast> rack_forecasts;
     net::boot_time now; // when the pass began
 
 private:
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -280,6 +280,44 @@
     return services;
 }
 
+bool task_runner::is_assigned(const open_starts::task_run& open, const std::string& worker) const
+{
+    const auto* const found = jobs_.find_task(open.task);
+    return found != nullptr && found->on_worker() && found->worker == worker &&
+           found->run == open.run;
+}
+
+bool task_runner::is_stray(const open_starts::task_run& open, const std::string& worker) const
+{
+    const auto handle = worker_handles_.find(worker);
+    if (handle == worker_handles_.end()) {
+        return false;
+    }
+    const auto& strays = handle->second.strays;
+    const auto stray = strays.find(open.task.to_string());
+    return stray != strays.end() && stray->second.run == open.run;
+}
+
+std::vector<task_name> task_runner::unassigned_runs() const
+{
+    std::vector<task_name> runs;
+    for (const auto& [worker, handle] : worker_handles_) {
+        for (const auto& [name, stray] : handle.strays) {
+            if (const auto parsed = parse_task_name(name)) {
+                runs.push_back(*parsed);
+            }
+        }
+    }
+    for (const auto& [worker, starts] : open_starts_) {
+        for (const auto& open : starts.startable_runs()) {
+            if (!is_assigned(open, worker) && !is_stray(open, worker)) {
+                runs.push_back(open.task);
+            }
+        }
+    }
+    return runs;
+}
+
 // --- Orders ------------------------------------------------------------------------------------
 
 task* task_runner::find_current_run(const task_name& name, std::int64_t run,
@@ -526,6 +564,7 @@
         }
         const bool settled = is_stop_settled(name, run, worker, result.status);
         if (settled) {
+            close_run(name, run, worker);
             stopped->order_confirmed_at = timers_.now();
         }
         const auto delay =
@@ -581,6 +620,7 @@
     }
     const bool settled = is_stop_settled(name, run, worker, result.status);
     if (settled) {
+        close_run(name, run, worker);
         handle->strays.at(name.to_string()).stop_confirmed_at = timers_.now();
     }
     const auto delay = settled ? settings_.stop_time + stop_margin : milliseconds(stop_retry_delay);
@@ -641,6 +681,14 @@
     return target.run < first_run_of_term();
 }
 
+void task_runner::close_run(const task_name& name, std::int64_t run, const std::string& worker)
+{
+    const auto found = open_starts_.find(worker);
+    if (found != open_starts_.end()) {
+        found->second.on_run_closed(name, run);
+    }
+}
+
 int task_runner::open_attempts(const task_name& name, std::int64_t run,
                                const std::string& worker) const
 {
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -152,12 +152,16 @@
         return timers_.now() < target.may_be_stopping_until;
     }
 
+    bool started_by_former_leader(const task& target) const;
     crash_ledger& crashes() { return crashes_; }
     std::map<std::string, worker_handle>& worker_handles() { return worker_handles_; }
     worker_handle* find_worker(const std::string& worker);
     // All workers that are registered on a VM, also former ones and those of other writers. At most
     // one of them runs there.
     std::vector<worker_handle*> workers_on_vm(const std::string& vm);
+    // Runs that may occupy a worker and belong to no task in worker_handle::assigned: those being
+    // stopped, and starts without an answer that may still be carried out. One entry for each run.
+    std::vector<task_name> unassigned_runs() const;
     // Services with workers on which unknown tasks of a previous leader may still run.
     std::set<std::string> unresolved_services() const;
     // Services of which workers of a previous leader were lost before this one had reached them.
@@ -209,8 +213,12 @@
     void stop_open_starts(worker_handle& handle);
     bool pace_repeat_due(const task& target) const;
     bool start_is_open(const task& target) const;
-    bool started_by_former_leader(const task& target) const;
     std::int64_t first_run_of_term() const;
+    // True if the run is the current one of its task, or is listed in worker_handle::strays.
+    bool is_assigned(const open_starts::task_run& open, const std::string& worker) const;
+    bool is_stray(const open_starts::task_run& open, const std::string& worker) const;
+    // The worker rejects further starts of the run, which has ended there or was stopped.
+    void close_run(const task_name& name, std::int64_t run, const std::string& worker);
     int open_attempts(const task_name& name, std::int64_t run, const std::string& worker) const;
     // True if a stop with this result has ended the run, and no start can begin it any more.
     bool is_stop_settled(const task_name& name, std::int64_t run, const std::string& worker,
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -293,6 +293,9 @@
 {
     const auto name = parse_task_name(end.name);
     task* const target = name ? jobs_.find_task(*name) : nullptr;
+    if (name) {
+        close_run(*name, end.run, handle.info().id);
+    }
     if (target != nullptr) {
         crashes_.run_reported(*target, identity_of(handle).life);
     }
--- a/src/jobs/testing/fake_workers.h
+++ b/src/jobs/testing/fake_workers.h
@@ -78,6 +78,8 @@
     // Time until a worker in mode `delayed` or `late_orders` executes an order.
     milliseconds late_order_delay{3000};
     milliseconds max_lease{10000};
+    // In the settings of the leaders; the runs take their planned time on each rack.
+    double remote_slowdown_factor = 1.0;
     milliseconds latency{1};     // of an order, and of its answer
     milliseconds stop_time{200}; // between a stop order and the end of the run
     milliseconds startup{0};     // of each run, at 0 percent
--- a/src/jobs/testing/test_fleet.cpp
+++ b/src/jobs/testing/test_fleet.cpp
@@ -32,6 +32,7 @@
         ports.metrics = &metrics_;
         engine_settings settings;
         settings.max_lease = workers.max_lease;
+        settings.remote_slowdown_factor = workers.remote_slowdown_factor;
         engine_ = std::make_unique<engine>(
             timers, ports, settings, leader, [this] { return election_->holds_lease(); },
             [this, &timers](const std::string& reason) {
