Review: memory accounts, access by the job's queue, backlog of the whole pool

Found by a review of the diff. A response that was blocked and then sent left EPOLLOUT watched, which made the loop spin while the next request was handled. Unsent responses and a fixed amount for each request now count towards the memory limit, and clients that do not read are closed first. A buffer gives its memory back when it is empty. The key check looks at the queue of the job, not of the path: a public path gave access to all jobs. A refused gang takes nothing of the rate. Backlog and shares count all workers of the pool. Gangs try their preferred rack first. Started jobs keep their place among jobs of one class and priority; shares order the others.

--- a/src/decisions/fair_shares.cpp
+++ b/src/decisions/fair_shares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <queue>
 #include <utility>
 
--- a/src/decisions/job_order.cpp
+++ b/src/decisions/job_order.cpp
@@ -25,7 +25,7 @@
     return job.critical_path <= job.time_left ? urgency_class::on_time : urgency_class::late;
 }
 
-// More than the priorities that an operator can give.
+// Exceeds the largest priority that a configuration may hold, 1,000,000.
 constexpr int priorities_per_class = 10000000;
 
 } // namespace
@@ -51,7 +51,8 @@
 
 int order_rank(const job_demand& job)
 {
-    return static_cast<int>(classify(job)) * priorities_per_class + job.priority;
+    const int rank = static_cast<int>(classify(job)) * priorities_per_class + job.priority;
+    return 2 * rank + (job.started ? 0 : 1);
 }
 
 } // namespace jl::decisions
--- a/src/decisions/job_order.h
+++ b/src/decisions/job_order.h
@@ -31,8 +31,10 @@
 // ones, because more of them complete in the same time.
 std::vector<std::size_t> order_jobs(const std::vector<job_demand>& jobs);
 
-// Returns a number that rises with the class and priority of the jobs in the order above. Jobs with
-// the same number may change places to give each team its share.
+// Returns a number that rises with the class and priority of the jobs in the order above, and is
+// lower for a started job than for others like it. Jobs with the same number may change places to
+// give each team its share; a started job keeps its place, because it earns credit only when it
+// completes.
 int order_rank(const job_demand& job);
 
 } // namespace jl::decisions
--- a/src/decisions/locality_wait.cpp
+++ b/src/decisions/locality_wait.cpp
@@ -12,8 +12,13 @@
 
 bool covers(const task_resources& available, const task_resources& request)
 {
-    return available.millicores >= request.millicores && available.memory_mb >= request.memory_mb &&
-           available.accelerators >= request.accelerators;
+    // A claim of a resource that is not free yet must not delay tasks that need none of it.
+    const auto covered = [](std::int64_t free, std::int64_t needed) {
+        return needed == 0 || free >= needed;
+    };
+    return covered(available.millicores, request.millicores) &&
+           covered(available.memory_mb, request.memory_mb) &&
+           covered(available.accelerators, request.accelerators);
 }
 
 } // namespace
--- a/src/decisions/locality_wait.h
+++ b/src/decisions/locality_wait.h
@@ -22,8 +22,8 @@
 // Decides whether the task keeps waiting for its preferred rack (delay scheduling).
 //
 // It waits while it ends earlier that way than on another rack, and for no longer in total than the
-// preferred rack can save. It does not wait if a start elsewhere is on time now and would not be
-// any more after the expected wait.
+// preferred rack can save or 2 s. It does not wait if a start elsewhere is on time now and would
+// not be any more after the expected wait.
 //
 // Load patterns:
 // - Data lies on a rack whose tasks end soon: a start elsewhere at once would take longer.
--- a/src/decisions/team_admission.cpp
+++ b/src/decisions/team_admission.cpp
@@ -10,7 +10,9 @@
 
 // Only a change of the configuration can help a job beyond its team's quota.
 constexpr std::chrono::seconds beyond_quota_delay{30};
-constexpr std::chrono::seconds max_delay{60};
+// Short delays are spread as well.
+constexpr std::chrono::milliseconds min_delay_before_spread{500};
+constexpr std::chrono::seconds max_delay_before_spread{30};
 
 } // namespace
 
@@ -32,7 +34,8 @@
     if (!request.fits_quota) {
         return admission::beyond_quota;
     }
-    if (!request.within_rate && request.backlog > request.slack) {
+    const auto slack = std::max(request.slack, std::chrono::nanoseconds(0));
+    if (!request.within_rate && request.backlog > slack) {
         return admission::beyond_rate;
     }
     return admission::accepted;
@@ -41,12 +44,13 @@
 std::chrono::seconds admission_retry_after(const admission_request& request, admission refusal,
                                            double spread)
 {
-    const std::chrono::duration<double> delay = refusal == admission::beyond_quota
-                                                    ? std::chrono::nanoseconds(beyond_quota_delay)
-                                                    : std::max(request.rate_delay, request.backlog);
-    const std::chrono::seconds spread_delay(
+    const auto expected = refusal == admission::beyond_quota
+                              ? std::chrono::nanoseconds(beyond_quota_delay)
+                              : std::max(request.rate_delay, request.backlog);
+    const std::chrono::duration<double> delay = std::clamp<std::chrono::nanoseconds>(
+        expected, min_delay_before_spread, max_delay_before_spread);
+    return std::chrono::seconds(
         static_cast<std::int64_t>(std::ceil(delay.count() * (1.0 + spread))));
-    return std::clamp(spread_delay, std::chrono::seconds(1), max_delay);
 }
 
 } // namespace jl::decisions
--- a/src/jobs/caller_access.cpp
+++ b/src/jobs/caller_access.cpp
@@ -33,11 +33,12 @@
     return access;
 }
 
-access_decision check_job_access(const queue_config& queue, const caller_access& caller,
+access_decision check_job_access(const queue_config* job_queue, const caller_access& caller,
                                  std::string_view job_team)
 {
-    const bool own = job_team.empty() || job_team == caller.team || queue.is_public;
-    return own ? access_decision::granted : access_decision::other_team;
+    const bool is_public = job_queue != nullptr && job_queue->is_public;
+    const bool open = job_team.empty() || job_team == caller.team || is_public;
+    return open ? access_decision::granted : access_decision::other_team;
 }
 
 } // namespace jl::jobs
--- a/src/jobs/caller_access.h
+++ b/src/jobs/caller_access.h
@@ -25,9 +25,10 @@
 // Decides whether a caller with this key (empty: none) may use the queue.
 caller_access check_key(const fleet_config& config, const queue_config& queue,
                         std::string_view key);
-// Decides whether a caller that may use the queue may query or cancel a job of `job_team`. A job
-// without a team is open to each of them, as is each job of a public queue.
-access_decision check_job_access(const queue_config& queue, const caller_access& caller,
+// Decides whether a caller may query, cancel or submit again a job of `job_team`. A job without a
+// team is open to all callers, as is each job of a public queue. `job_queue` is the queue that the
+// job was submitted to, whatever path the caller uses; null: it is not configured any more.
+access_decision check_job_access(const queue_config* job_queue, const caller_access& caller,
                                  std::string_view job_team);
 
 } // namespace jl::jobs
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -83,7 +83,7 @@
     const fleet_config* config() const override;
     void submit(submission submitted, std::function<void(const submit_answer&)> done) override;
     std::optional<job_state> state(const std::string& id) const override;
-    std::string team_of(const std::string& id) const override;
+    access_decision check_access(const std::string& id, const caller_access& caller) const override;
     void record_denial(const std::string& queue, access_decision reason) override;
     void cancel(const std::string& id, std::function<void(cancel_outcome)> done) override;
     std::size_t count_waiting_jobs(const std::string& queue) const override;
@@ -120,9 +120,9 @@
     void accept(submission submitted, net::boot_time received, const submit_callback& done);
     void refuse(const job_spec& spec, net::boot_time received, const submit_callback& done);
     // Returns true if the team's rate and quota and the load of the pool let the job in. Otherwise
-    // answers the caller.
-    bool admit_job(const job_spec& spec, const queue_config& queue, bool within_rate,
-                   net::boot_time received, const submit_callback& done);
+    // answers the caller. Sets `within_rate`.
+    bool admit_job(const job_spec& spec, const queue_config& queue, const teams::team_config& team,
+                   net::boot_time received, const submit_callback& done, bool& within_rate);
     // True if an earlier attempt to submit the job waits for the store.
     bool is_held(const std::string& id) const;
     void accept_held_submissions();
--- a/src/jobs/engine_submissions.cpp
+++ b/src/jobs/engine_submissions.cpp
@@ -55,15 +55,6 @@
                                           timers_.now() - received);
         done({durable ? submit_outcome::accepted : submit_outcome::unknown});
     };
-    if (auto* const existing = jobs_.find(spec.id)) {
-        if (existing->durable()) {
-            done({submit_outcome::accepted});
-        }
-        else {
-            existing->durability_callbacks.emplace_back(answer);
-        }
-        return;
-    }
     const auto* const queue = config_->find_queue(spec.queue);
     if (queue == nullptr) { // removed while the submission was held
         refuse(spec, received, done);
@@ -76,11 +67,23 @@
         done({submit_outcome::unauthorized});
         return;
     }
+    if (auto* const existing = jobs_.find(spec.id)) {
+        if (check_access(spec.id, access) != access_decision::granted) {
+            record_denial(queue->name, access_decision::other_team);
+            done({submit_outcome::other_team});
+        }
+        else if (existing->durable()) {
+            done({submit_outcome::accepted});
+        }
+        else {
+            existing->durability_callbacks.emplace_back(answer);
+        }
+        return;
+    }
     spec.team = access.team;
     const auto* const team = config_->teams.find(spec.team);
-    const bool within_rate =
-        team == nullptr || job_rates_.take(team->name, team->weight, timers_.now());
-    if (!admit_job(spec, *queue, within_rate, received, done)) {
+    bool within_rate = true;
+    if (team != nullptr && !admit_job(spec, *queue, *team, received, done, within_rate)) {
         return;
     }
     auto& job = jobs_.insert(std::move(spec));
@@ -99,25 +102,26 @@
               {{"job", job.spec.id},
                {"queue", job.spec.queue},
                {"team", job.spec.team},
+               {"within_rate", within_rate ? "true" : "false"},
                {"steps", std::to_string(job.spec.steps.size())},
                {"config", std::to_string(config_->version)}});
     writer_->mark_dirty(job_prefix + job.spec.id);
 }
 
-bool engine::admit_job(const job_spec& spec, const queue_config& queue, bool within_rate,
-                       net::boot_time received, const submit_callback& done)
+bool engine::admit_job(const job_spec& spec, const queue_config& queue,
+                       const teams::team_config& team, net::boot_time received,
+                       const submit_callback& done, bool& within_rate)
 {
-    const auto* const team = config_->teams.find(spec.team);
-    if (team == nullptr) {
-        return true;
-    }
+    const auto now = timers_.now();
     decisions::admission_request request;
     request.fits_quota =
-        std::all_of(spec.steps.begin(), spec.steps.end(), [team](const step_spec& step) {
-            return teams::fits_quota(team->quota, step.request, step.gang ? step.count : 1);
+        std::all_of(spec.steps.begin(), spec.steps.end(), [&team](const step_spec& step) {
+            return teams::fits_quota(team.quota, step.request, step.gang ? step.count : 1);
         });
+    // A job that can never start takes nothing of the rate.
+    within_rate = request.fits_quota && job_rates_.take(team.name, team.weight, now);
     request.within_rate = within_rate;
-    request.rate_delay = job_rates_.delay(team->name, team->weight, timers_.now());
+    request.rate_delay = job_rates_.delay(team.name, team.weight, now);
     request.backlog = scheduler_->backlog(queue.service);
     request.slack = completion_objective(queue, spec) - critical_path_duration(spec);
     const auto decision = decisions::admit(request);
@@ -191,10 +195,14 @@
     return job.durable_state;
 }
 
-std::string engine::team_of(const std::string& id) const
+access_decision engine::check_access(const std::string& id, const caller_access& caller) const
 {
     const auto found = jobs_.all().find(id);
-    return found == jobs_.all().end() ? "" : found->second->spec.team;
+    if (found == jobs_.all().end()) {
+        return access_decision::granted;
+    }
+    const auto& spec = found->second->spec;
+    return check_job_access(config_->find_queue(spec.queue), caller, spec.team);
 }
 
 void engine::record_denial(const std::string& queue, access_decision reason)
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -22,6 +22,8 @@
 // A job earns partial credit if it completes within this multiple of its objective.
 constexpr int late_credit_objectives = 3;
 constexpr int full_percent = 100;
+// A longer backlog is of no further interest, and job specifications may hold any estimate.
+constexpr auto max_backlog = 1h;
 
 bool workers_check_capacity(const fleet_config& config, const std::string& service)
 {
@@ -104,15 +106,6 @@
     return total;
 }
 
-task_resources size_of(const pool_candidates& pool)
-{
-    task_resources total;
-    for (const auto* const handle : pool.worker_handles) {
-        total += handle->info().capacity;
-    }
-    return total;
-}
-
 // The teams that use or ask for a pool, with their shares of it. Jobs without a team share one.
 class pool_teams {
 public:
@@ -154,11 +147,34 @@
 };
 
 // Time that the pool needs for this work.
-std::chrono::nanoseconds time_for(double core_seconds, const pool_candidates& pool)
+std::chrono::nanoseconds time_for(double core_seconds, const task_resources& pool_size)
 {
-    const double cores = static_cast<double>(size_of(pool).millicores) / 1000.0;
+    const double cores = static_cast<double>(pool_size.millicores) / 1000.0;
+    const std::chrono::duration<double> time{cores > 0 ? core_seconds / cores : 0.0};
     return std::chrono::duration_cast<std::chrono::nanoseconds>(
-        std::chrono::duration<double>(cores > 0 ? core_seconds / cores : 0.0));
+        std::min<std::chrono::duration<double>>(time, max_backlog));
+}
+
+// Workers without a rack are on none.
+std::set<std::string_view> racks_of(const pool_candidates& pool)
+{
+    std::set<std::string_view> racks;
+    for (const auto& candidate : pool.candidates) {
+        if (!candidate.rack.empty()) {
+            racks.insert(candidate.rack);
+        }
+    }
+    return racks;
+}
+
+// Returns what becomes free when the task ends.
+task_resources releasable(const task& assigned)
+{
+    auto amount = assigned.spec().request;
+    if (assigned.spec().filler) {
+        amount.millicores = 0;
+    }
+    return amount;
 }
 
 bool has_waiting_task(const job& target, net::boot_time now)
@@ -300,10 +316,10 @@
 void job_scheduler::schedule_pool(const fleet_config& config, const std::vector<job*>& jobs,
                                   pool_candidates& pool)
 {
+    const auto order = order_pool(config, jobs, pool.now);
     if (pool.candidates.empty()) {
         return;
     }
-    const auto order = order_pool(config, jobs, pool);
     // Before any other start, which could be confused with that of a suspect.
     for (const auto index : order) {
         auto& target = *jobs[index];
@@ -319,7 +335,7 @@
 
 std::vector<std::size_t> job_scheduler::order_pool(const fleet_config& config,
                                                    const std::vector<job*>& jobs,
-                                                   const pool_candidates& pool)
+                                                   net::boot_time now)
 {
     std::vector<decisions::job_demand> demands;
     for (std::size_t index = 0; index < jobs.size(); ++index) {
@@ -331,9 +347,9 @@
         demand.priority = queue->priority;
         demand.long_running = target.spec.steps.front().long_running;
         demand.started = target.any_started;
-        demand.time_left = std::chrono::duration_cast<milliseconds>(target.objective - pool.now);
+        demand.time_left = std::chrono::duration_cast<milliseconds>(target.objective - now);
         demand.late_time_left = demand.time_left + (late_credit_objectives - 1) * objective;
-        demand.critical_path = remaining_critical_path(target, pool.now);
+        demand.critical_path = remaining_critical_path(target, now);
         demand.core_seconds = remaining_core_seconds(target);
         demand.beyond_rate = target.beyond_rate;
         demands.push_back(demand);
@@ -342,10 +358,17 @@
     if (!config.checks_keys) {
         return order;
     }
+    const auto& service = config.find_queue(jobs.front()->spec.queue)->service;
     double core_seconds = 0;
+    task_resources pool_size;
     pool_teams teams(config.teams);
-    for (const auto* const handle : pool.worker_handles) {
-        for (const auto* const assigned : handle->assigned) {
+    // All workers of the pool, also those that accept no task right now.
+    for (const auto& [worker, handle] : runner_.worker_handles()) {
+        if (handle.info().service != service || !handle.registered) {
+            continue;
+        }
+        pool_size += handle.info().capacity;
+        for (const auto* const assigned : handle.assigned) {
             teams.add_use(assigned->owner->spec.team, assigned->spec().request);
         }
     }
@@ -354,11 +377,10 @@
         const auto& target = *jobs[index];
         core_seconds += demands[index].long_running ? 0.0 : demands[index].core_seconds;
         team_jobs.push_back({index, teams.index_of(target.spec.team),
-                             decisions::order_rank(demands[index]),
-                             waiting_demand(target, pool.now)});
+                             decisions::order_rank(demands[index]), waiting_demand(target, now)});
     }
-    backlogs_[config.find_queue(jobs.front()->spec.queue)->service] = time_for(core_seconds, pool);
-    return decisions::order_by_share(team_jobs, teams.shares(), size_of(pool));
+    backlogs_[service] = time_for(core_seconds, pool_size);
+    return decisions::order_by_share(team_jobs, teams.shares(), pool_size);
 }
 
 void job_scheduler::start_job(job& target, const queue_config& queue, pool_candidates& pool)
@@ -577,17 +599,16 @@
 std::vector<std::size_t> job_scheduler::place_gang_on_one_rack(const std::vector<task*>& members,
                                                                const pool_candidates& pool)
 {
-    std::set<std::string_view> racks;
-    for (const auto& candidate : pool.candidates) {
-        racks.insert(candidate.rack);
-    }
-    for (const auto rack : racks) {
-        auto chosen = rack.empty() ? std::vector<std::size_t>() : place_gang(members, rack, pool);
+    const auto& preferred = members.front()->spec().preferred_rack;
+    auto chosen =
+        preferred.empty() ? std::vector<std::size_t>() : place_gang(members, preferred, pool);
+    for (const auto rack : racks_of(pool)) {
         if (!chosen.empty()) {
-            return chosen;
+            break;
         }
+        chosen = place_gang(members, rack, pool);
     }
-    return {};
+    return chosen;
 }
 
 // Starts all members of the gang, or none if one of them fits nowhere.
@@ -599,13 +620,15 @@
     if (!on_one_rack) {
         chosen = place_gang(members, "", pool);
     }
-    if (chosen.empty() || (same_rack && !on_one_rack && gang_waits_for_rack(members, pool))) {
+    if (chosen.empty() || (same_rack && !on_one_rack && gang_should_wait_for_rack(members, pool))) {
         return;
     }
     align_gang(members);
     for (std::size_t index = 0; index < members.size(); ++index) {
-        members[index]->on_remote_rack = same_rack && !on_one_rack;
         launch(*members[index], chosen[index], {}, pool);
+        // Its members slow each other down as if they were away from their data.
+        members[index]->on_remote_rack =
+            members[index]->on_remote_rack || (same_rack && !on_one_rack);
     }
 }
 
@@ -628,7 +651,7 @@
                       milliseconds(static_cast<std::int64_t>(actual.count() / factor)));
 }
 
-// Covers the tasks that end by themselves. What is free on a worker counts with the first end
+// Covers the tasks that end by themselves. What is free on a worker counts with the end of one task
 // there, because it was too little for the task that waits.
 decisions::rack_forecast& job_scheduler::forecast_of(std::string_view rack,
                                                      pool_candidates& pool) const
@@ -650,17 +673,20 @@
             if (assigned->spec().long_running) {
                 continue;
             }
-            auto amount = assigned->spec().request;
+            auto amount = releasable(*assigned);
             amount += std::exchange(free, {});
-            forecast.add_end(remaining_duration(*assigned, expected_duration(*assigned), pool.now),
-                             amount);
+            const double factor = assigned->on_remote_rack ? remote_slowdown_factor_ : 1.0;
+            const milliseconds duration(static_cast<std::int64_t>(
+                static_cast<double>(expected_duration(*assigned).count()) * factor));
+            forecast.add_end(remaining_duration(*assigned, duration, pool.now), amount);
         }
     }
     return forecast;
 }
 
-bool job_scheduler::pays_to_wait(task& target, std::optional<std::chrono::nanoseconds> rack_wait,
-                                 net::boot_time now)
+bool job_scheduler::begins_or_continues_wait(task& target,
+                                             std::optional<std::chrono::nanoseconds> rack_wait,
+                                             net::boot_time now)
 {
     const bool waits_already = target.rack_wait_since != net::boot_time{};
     const auto& spec = target.owner->spec;
@@ -690,23 +716,24 @@
     return true;
 }
 
-bool job_scheduler::waits_for_rack(task& target, const decisions::candidate_worker& worker,
-                                   pool_candidates& pool)
+bool job_scheduler::should_wait_for_rack(task& target, const decisions::candidate_worker& worker,
+                                         pool_candidates& pool)
 {
     const auto& spec = target.spec();
-    target.on_remote_rack = !spec.preferred_rack.empty() && worker.rack != spec.preferred_rack;
-    if (!target.on_remote_rack || spec.long_running || remote_slowdown_factor_ <= 1.0) {
+    const bool remote = !spec.preferred_rack.empty() && worker.rack != spec.preferred_rack;
+    if (!remote || spec.long_running || remote_slowdown_factor_ <= 1.0) {
         return false;
     }
     auto& forecast = forecast_of(spec.preferred_rack, pool);
-    if (!pays_to_wait(target, forecast.time_until_free(spec.request), pool.now)) {
+    if (!begins_or_continues_wait(target, forecast.time_until_free(spec.request), pool.now)) {
         return false;
     }
     forecast.claim(spec.request);
     return true;
 }
 
-bool job_scheduler::gang_waits_for_rack(const std::vector<task*>& members, pool_candidates& pool)
+bool job_scheduler::gang_should_wait_for_rack(const std::vector<task*>& members,
+                                              pool_candidates& pool)
 {
     if (remote_slowdown_factor_ <= 1.0 || members.front()->spec().long_running) {
         return false;
@@ -717,15 +744,15 @@
     }
     std::optional<std::chrono::nanoseconds> shortest;
     decisions::rack_forecast* earliest = nullptr;
-    for (const auto& candidate : pool.candidates) {
-        auto& forecast = forecast_of(candidate.rack, pool);
+    for (const auto rack : racks_of(pool)) {
+        auto& forecast = forecast_of(rack, pool);
         const auto wait = forecast.time_until_free(total);
         if (wait && (!shortest || *wait < *shortest)) {
             shortest = wait;
             earliest = &forecast;
         }
     }
-    if (!pays_to_wait(*members.front(), shortest, pool.now)) {
+    if (!begins_or_continues_wait(*members.front(), shortest, pool.now)) {
         return false;
     }
     earliest->claim(total);
@@ -745,7 +772,7 @@
             }
             return start_outcome::no_worker;
         }
-        if (waits_for_rack(target, pool.candidates[*worker], pool)) {
+        if (should_wait_for_rack(target, pool.candidates[*worker], pool)) {
             return start_outcome::waits_for_rack;
         }
         launch(target, *worker, {}, pool);
@@ -785,6 +812,9 @@
 {
     subtract_demand(pool.candidates[worker], target.spec());
     ++pool.candidates[worker].tasks_of_step;
+    const auto& preferred_rack = target.spec().preferred_rack;
+    target.on_remote_rack =
+        !preferred_rack.empty() && pool.candidates[worker].rack != preferred_rack;
     if (target.rack_wait_since != net::boot_time{}) {
         metrics_.record_locality_wait(target.on_remote_rack ? "remote" : "preferred",
                                       pool.now - target.rack_wait_since);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -48,8 +48,9 @@
                        pool_candidates& pool);
     // Returns the jobs, by index, in the order in which their tasks are started.
     std::vector<std::size_t> order_pool(const fleet_config& config, const std::vector<job*>& jobs,
-                                        const pool_candidates& pool);
-    // True if the quota of the job's team allows `count` more tasks of the step.
+                                        net::boot_time now);
+    // True if the quota of the job's team allows `count` more tasks of the step. A single task
+    // larger than the quota may run while nothing else of its team does.
     bool quota_allows(const job& target, const step_spec& spec, int count) const;
     void start_job(job& target, const queue_config& queue, pool_candidates& pool);
     void start_step(job& target, occurrence_progress& occurrence, std::size_t step,
@@ -85,12 +86,13 @@
     enum class start_outcome { started, waits_for_rack, no_worker };
     start_outcome start_one(task& target, const queue_config& queue, pool_candidates& pool);
     // True if the task does better to wait for its preferred rack than to start on the worker.
-    bool waits_for_rack(task& target, const decisions::candidate_worker& worker,
-                        pool_candidates& pool);
+    bool should_wait_for_rack(task& target, const decisions::candidate_worker& worker,
+                              pool_candidates& pool);
     // The same for a gang that fits on no single rack.
-    bool gang_waits_for_rack(const std::vector<task*>& members, pool_candidates& pool);
-    bool pays_to_wait(task& target, std::optional<std::chrono::nanoseconds> rack_wait,
-                      net::boot_time now);
+    bool gang_should_wait_for_rack(const std::vector<task*>& members, pool_candidates& pool);
+    // Returns true if the wait pays, and remembers when it began.
+    bool begins_or_continues_wait(task& target, std::optional<std::chrono::nanoseconds> rack_wait,
+                                  net::boot_time now);
     decisions::rack_forecast& forecast_of(std::string_view rack, pool_candidates& pool) const;
     milliseconds expected_duration(const task& target) const;
     void reserve_worker(const decisions::task_demand& demand, pool_candidates& pool);
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -15,6 +15,7 @@
 enum class submit_outcome {
     accepted,
     unauthorized, // not accepted because the key is not known any more; will never run
+    other_team,   // the job is another team's
     overloaded,   // not accepted, will never run
     unavailable,  // not accepted because the store does not answer; will never run
     unknown,      // may have been accepted; submitting the same job again is safe
@@ -47,8 +48,10 @@
     virtual void submit(submission submitted, std::function<void(const submit_answer&)> done) = 0;
     // Nothing if the job is not known.
     virtual std::optional<job_state> state(const std::string& id) const = 0;
-    // The team whose job it is; empty if there is none or the job is not known.
-    virtual std::string team_of(const std::string& id) const = 0;
+    // Decides whether the caller may query or cancel the job. Grants access to a job that is not
+    // known.
+    virtual access_decision check_access(const std::string& id,
+                                         const caller_access& caller) const = 0;
     // The caller got no access.
     virtual void record_denial(const std::string& queue, access_decision reason) = 0;
     virtual void cancel(const std::string& id, std::function<void(cancel_outcome)> done) = 0;
--- a/src/net/async_server.cpp
+++ b/src/net/async_server.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
 constexpr int internal_server_error_status = 500;
 constexpr int service_unavailable_status = 503;
+// What a request takes beside its bytes while it is handled, roughly.
+constexpr std::size_t request_overhead_bytes = 2U << 10U;
+constexpr int max_discarded_chunks = 64;
 constexpr const char* overload_retry_after_s = "1";
 // Pause of accept() after the process has run out of descriptors.
 constexpr std::chrono::milliseconds accept_pause{100};
@@ -111,16 +114,16 @@
         message_buffer input;
         std::string output;
         boot_time last_activity = boot_clock::now();
-        boot_time receiving_since{};         // when the first byte of the request in `input` came
+        boot_time receiving_since{};         // since when the request in `input` is incomplete
         std::size_t bytes_being_handled = 0; // size of the current request
         std::uint32_t watched_events = EPOLLIN;
         bool busy = false;                   // the handler has not answered the current request yet
-        bool next_request_scheduled = false; // handle_next_request() is called from the loop
+        bool next_request_scheduled = false; // a deferred call handles the next buffered request
         bool close_after_write = false;
         bool closed = false;
 
-        // False while a response waits or further requests have been received, which keeps a client
-        // that does not read its responses from filling the memory.
+        // False while a response waits or the next buffered request is scheduled, which keeps a
+        // client that does not read its responses from filling the memory.
         bool accepts_input() const
         {
             return !busy && !next_request_scheduled && output.empty() && !close_after_write;
@@ -209,12 +212,12 @@
             close(conn); // no response can be delivered, and the loop would report it again
         }
         else {
-            pause_reading(conn);
+            pause_or_close(conn);
         }
     }
 
     // The client has sent more than its current request, or has closed the connection.
-    void pause_reading(const connection_ptr& conn)
+    void pause_or_close(const connection_ptr& conn)
     {
         char next = 0;
         const auto count = recv(conn->socket.get(), &next, sizeof next, MSG_PEEK);
@@ -258,27 +261,44 @@
         }
         conn->input.append(data, size);
         buffered_bytes_ += size;
-        while (buffered_bytes_ > limits_.max_buffered_bytes && close_oldest_partial_request()) {
+        enforce_memory_limit();
+    }
+
+    void enforce_memory_limit()
+    {
+        while (buffered_bytes_ > limits_.max_buffered_bytes && close_to_free_memory()) {
         }
     }
 
-    // Clients that never complete their requests must not keep those of others out. Returns false
-    // if there is no partial request.
-    bool close_oldest_partial_request()
+    // Clients that do not read their responses, or never complete their requests, must not keep
+    // those of others out. Closes the connection of the first kind that has been inactive for
+    // longest, else the one whose request began first. Returns false if there is neither.
+    bool close_to_free_memory()
     {
-        connection_ptr oldest;
+        connection_ptr unread;
+        connection_ptr partial;
         for (const auto& [descriptor, conn] : connections_) {
-            const bool partial = conn->accepts_input() && !conn->input.empty();
-            if (partial && (!oldest || conn->receiving_since < oldest->receiving_since)) {
-                oldest = conn;
+            if (!conn->output.empty()) {
+                if (!unread || conn->last_activity < unread->last_activity) {
+                    unread = conn;
+                }
+            }
+            else if (!conn->busy && !conn->input.empty()) {
+                if (!partial || conn->receiving_since < partial->receiving_since) {
+                    partial = conn;
+                }
             }
         }
-        if (oldest) {
-            log_event(log_level::info, "server.partial_request_dropped",
-                      {{"bytes", std::to_string(oldest->input.size())}});
-            close(oldest);
+        const auto& closed = unread ? unread : partial;
+        if (!closed) {
+            return false;
         }
-        return oldest != nullptr;
+        log_event(log_level::info, "server.connection_dropped",
+                  {{"reason", unread ? "unread response" : "partial request"},
+                   {"received_bytes", std::to_string(closed->input.size())},
+                   {"unsent_bytes", std::to_string(closed->output.size())}});
+        close(closed);
+        return true;
     }
 
     void handle_next_request(const connection_ptr& conn)
@@ -291,14 +311,15 @@
         if (!request) {
             if (conn->input.error() != framing_error::none) {
                 conn->close_after_write = true;
+                discard_received(conn);
                 send(conn, http::error_response(http_status_for(conn->input.error()), "bad_request",
                                                 "the request cannot be read"));
             }
             return;
         }
-        conn->receiving_since = conn->last_activity;
-        conn->bytes_being_handled = size_before - conn->input.size();
+        conn->bytes_being_handled = size_before - conn->input.size() + request_overhead_bytes;
         bytes_being_handled_ += conn->bytes_being_handled;
+        buffered_bytes_ += request_overhead_bytes;
         conn->busy = true;
         ++open_requests_;
         const auto respond = make_responder(conn, wants_close(request->headers));
@@ -318,6 +339,18 @@
         }
     }
 
+    // Closing a socket with unread bytes resets the connection, and the client may lose the
+    // response.
+    static void discard_received(const connection_ptr& conn)
+    {
+        std::array<char, read_chunk_bytes> chunk; // NOLINT: filled by recv
+        for (int count = 0; count < max_discarded_chunks; ++count) {
+            if (recv(conn->socket.get(), chunk.data(), chunk.size(), 0) <= 0) {
+                return;
+            }
+        }
+    }
+
     // Returns the function that answers the connection's current request. Only its first call has
     // an effect.
     responder make_responder(const connection_ptr& conn, bool close_requested)
@@ -345,7 +378,9 @@
     void send(const connection_ptr& conn, const http::response& response)
     {
         conn->output += serialize(response, !conn->close_after_write);
+        buffered_bytes_ += conn->output.size();
         flush(conn);
+        enforce_memory_limit();
     }
 
     void flush(const connection_ptr& conn)
@@ -361,13 +396,16 @@
             }
             if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
                 conn->output.erase(0, sent);
+                buffered_bytes_ -= sent;
                 watch_events(conn, conn->watched_events | EPOLLOUT);
                 return;
             }
             close(conn);
             return;
         }
-        conn->output = {}; // also releases its memory
+        buffered_bytes_ -= sent;
+        std::string().swap(conn->output); // also releases its memory
+        watch_events(conn, conn->watched_events & ~static_cast<std::uint32_t>(EPOLLOUT));
         if (conn->close_after_write) {
             close(conn);
             return;
@@ -375,8 +413,8 @@
         continue_after_response(conn);
     }
 
-    // A complete request may have been received already. It is handled from the loop, so that a
-    // client with many of them does not keep the others waiting.
+    // A complete request may have been received already. It is handled from the loop, because a
+    // handler that responds at once would call this function again.
     void continue_after_response(const connection_ptr& conn)
     {
         if (conn->busy) {
@@ -386,6 +424,7 @@
             watch_events(conn, EPOLLIN);
             return;
         }
+        conn->receiving_since = boot_clock::now();
         conn->next_request_scheduled = true;
         loop_.defer([this, conn] {
             conn->next_request_scheduled = false;
@@ -410,7 +449,8 @@
             return;
         }
         conn->closed = true;
-        buffered_bytes_ -= conn->input.size(); // a request being handled counts until its response
+        // A request being handled counts until its response.
+        buffered_bytes_ -= conn->input.size() + conn->output.size();
         loop_.unwatch(conn->socket.get());
         connections_.erase(conn->socket.get());
         conn->socket.reset();
--- a/src/net/async_server.h
+++ b/src/net/async_server.h
@@ -16,9 +16,10 @@
     std::size_t max_connections = 1500;
     std::size_t max_head_bytes = 16U << 10U;
     std::size_t max_body_bytes = 256U << 10U;
-    // Of all connections together: received bytes that are not handled yet, and requests that are
-    // being handled. Beyond it, the partial request that began first is dropped with its
-    // connection. Requests being handled may take half of it; further ones get 503.
+    // Of all connections together: received bytes that are not handled yet, requests that are being
+    // handled (with 2 KB more for each), and responses that are not sent yet. Beyond it, a
+    // connection with an unread response is closed, else the one whose partial request began first.
+    // Requests being handled may take half of it; further ones get 503.
     std::size_t max_buffered_bytes = 32U << 20U;
     // Of a connection without any received or sent byte, unless a request is being handled.
     std::chrono::milliseconds idle_timeout{15000};
--- a/src/teams/job_rates.cpp
+++ b/src/teams/job_rates.cpp
@@ -9,6 +9,9 @@
 // A bucket holds the jobs of this time, and one job at least.
 constexpr std::chrono::duration<double> burst{1.0};
 
+// In jobs a second; bounds the delay of a team without a rate.
+constexpr double min_rate = 1e-3;
+
 double capacity(double rate)
 {
     return std::max(1.0, rate * burst.count());
@@ -39,12 +42,12 @@
                                           net::boot_time now) const
 {
     const auto found = buckets_.find(team);
-    if (found == buckets_.end() || rate <= 0) {
+    if (found == buckets_.end()) {
         return {};
     }
-    const double missing = 1.0 - tokens_at(found->second, rate, now);
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(
-        std::chrono::duration<double>(std::max(0.0, missing) / rate));
+    const double missing = std::max(0.0, 1.0 - tokens_at(found->second, rate, now));
+    const std::chrono::duration<double> delay{missing / std::max(rate, min_rate)};
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(delay);
 }
 
 } // namespace jl::teams
