--- a/src/net/async_server_test.cpp
+++ b/src/net/async_server_test.cpp
@@ -93,11 +93,11 @@
 protected:
     void start(const async_server_limits& limits, async_handler handler)
     {
-        server_ = std::make_unique<async_server>(loop_, endpoint{"127.0.0.1", 0}, limits,
+        server_ = std::make_unique<async_server>(loop, endpoint{"127.0.0.1", 0}, limits,
                                                  std::move(handler));
         // The loop is stopped from its own thread, because it is not thread-safe.
         check_stop();
-        thread_ = std::thread([this] { loop_.run(); });
+        thread_ = std::thread([this] { loop.run(); });
     }
 
     void TearDown() override
@@ -115,14 +115,14 @@
 
     raw_client connect() const { return raw_client(server_->port()); }
 
-    event_loop loop_;
+    event_loop loop;
 
 private:
     void check_stop()
     {
-        loop_.call_after(5ms, [this] {
+        loop.call_after(5ms, [this] {
             if (stop_) {
-                loop_.stop();
+                loop.stop();
                 return;
             }
             check_stop();
--- a/tests/overload/unread_answers_test.cpp
+++ b/tests/overload/unread_answers_test.cpp
@@ -101,14 +101,14 @@
     {
         std::string name = ::testing::UnitTest::GetInstance()->current_test_info()->name();
         std::replace(name.begin(), name.end(), '/', '-');
-        directory_ = std::filesystem::temp_directory_path() /
-                     ("jl-overload-test-" + std::to_string(::getpid()) + "-" + name);
-        std::filesystem::create_directories(directory_);
-        platform_address_ = free_endpoint();
-        platform_ =
+        directory = std::filesystem::temp_directory_path() /
+                    ("jl-overload-test-" + std::to_string(::getpid()) + "-" + name);
+        std::filesystem::create_directories(directory);
+        platform_address = free_endpoint();
+        platform =
             std::make_unique<child_process>(std::string(JL_BIN_DIR) + "/jl-standin-users-platform",
-                                            std::vector<std::string>{platform_address_.to_string()},
-                                            (directory_ / "platform.log").string());
+                                            std::vector<std::string>{platform_address.to_string()},
+                                            (directory / "platform.log").string());
         for (int number = 0; number < nodes; ++number) {
             start_node(number);
         }
@@ -119,24 +119,24 @@
 
     void TearDown() override
     {
-        processes_.clear();
-        platform_.reset();
+        processes.clear();
+        platform.reset();
         if (!HasFailure()) {
-            std::filesystem::remove_all(directory_);
+            std::filesystem::remove_all(directory);
         }
     }
 
     void start_node(int number)
     {
-        addresses_[number] = {free_endpoint(), free_endpoint(), free_endpoint(), platform_address_};
+        addresses[number] = {free_endpoint(), free_endpoint(), free_endpoint(), platform_address};
         const auto name = "node-" + std::to_string(number);
-        const auto path = directory_ / (name + ".json");
-        std::ofstream(path) << node_settings(name, addresses_[number],
+        const auto path = directory / (name + ".json");
+        std::ofstream(path) << node_settings(name, addresses[number],
                                              {memory_limit_mb, descriptor_limit});
-        processes_.push_back(
+        processes.push_back(
             std::make_unique<child_process>(std::string(JL_BIN_DIR) + "/jl-node",
                                             std::vector<std::string>{"--settings", path.string()},
-                                            (directory_ / (name + ".log")).string()));
+                                            (directory / (name + ".log")).string()));
     }
 
     static std::optional<http::response> send(const endpoint& server, const std::string& method,
@@ -154,14 +154,14 @@
 
     bool ready(int number) const
     {
-        const auto answer = send(addresses_[number].readiness, "GET", "/api/readiness");
+        const auto answer = send(addresses[number].readiness, "GET", "/api/readiness");
         return answer && answer->status == 200;
     }
 
     int leader() const
     {
         for (int number = 0; number < nodes; ++number) {
-            const auto answer = send(addresses_[number].peers, "GET", "/metrics");
+            const auto answer = send(addresses[number].peers, "GET", "/metrics");
             if (answer && answer->body.find("\njl_leader 1") != std::string::npos) {
                 return number;
             }
@@ -174,13 +174,13 @@
         const nlohmann::json job = {
             {"specification", "plan"},
             {"steps", {{{"count", 2}, {"cpu", 500}, {"memoryRequestMb", 64}}}}};
-        const auto answer = send(addresses_[number].callers, "POST", "/plans/" + id, job.dump());
+        const auto answer = send(addresses[number].callers, "POST", "/plans/" + id, job.dump());
         return answer ? answer->status : 0;
     }
 
     bool over_memory_limit() const
     {
-        return std::any_of(processes_.begin(), processes_.end(), [](const auto& process) {
+        return std::any_of(processes.begin(), processes.end(), [](const auto& process) {
             return process->resident_mb() > memory_limit_mb;
         });
     }
@@ -191,10 +191,12 @@
                                                           std::size_t bytes_per_client)
     {
         std::vector<std::unique_ptr<unread_connection>> connections;
+        connections.reserve(static_cast<std::size_t>(clients));
         for (int client = 0; client < clients; ++client) {
             connections.push_back(std::make_unique<unread_connection>(server));
         }
         std::vector<std::thread> senders;
+        senders.reserve(connections.size());
         for (auto& connection : connections) {
             senders.emplace_back([&, connection = connection.get()] {
                 connection->send_repeatedly(text, bytes_per_client,
@@ -210,9 +212,9 @@
     void expect_nodes_within_limits()
     {
         for (int number = 0; number < nodes; ++number) {
-            ASSERT_TRUE(processes_[number]->running()) << number;
-            EXPECT_LT(processes_[number]->peak_resident_mb(), memory_limit_mb) << number;
-            EXPECT_LT(processes_[number]->open_descriptors(), descriptor_limit) << number;
+            ASSERT_TRUE(processes[number]->running()) << number;
+            EXPECT_LT(processes[number]->peak_resident_mb(), memory_limit_mb) << number;
+            EXPECT_LT(processes[number]->open_descriptors(), descriptor_limit) << number;
         }
     }
 
@@ -229,11 +231,11 @@
         expect_nodes_within_limits();
     }
 
-    std::filesystem::path directory_;
-    endpoint platform_address_;
-    std::unique_ptr<child_process> platform_;
-    std::array<node_addresses, nodes> addresses_;
-    std::vector<std::unique_ptr<child_process>> processes_;
+    std::filesystem::path directory;
+    endpoint platform_address;
+    std::unique_ptr<child_process> platform;
+    std::array<node_addresses, nodes> addresses;
+    std::vector<std::unique_ptr<child_process>> processes;
 };
 
 enum class flooded_node { leader, follower };
@@ -256,7 +258,7 @@
     const int leading = leader();
     ASSERT_GE(leading, 0);
     const int target = flooded.node == flooded_node::leader ? leading : nodes - 1 - leading;
-    const auto connections = flood(addresses_[target].*(flooded.address), flooding_clients,
+    const auto connections = flood(addresses[target].*(flooded.address), flooding_clients,
                                    flooded.request, flood_bytes_per_client);
     expect_nodes_work();
 }
@@ -288,8 +290,9 @@
                                   "Content-Length: 250000\r\n\r\n" +
                                   std::string(half_sent_bytes_per_client, ' ');
     std::vector<std::unique_ptr<unread_connection>> connections;
+    connections.reserve(half_sending_clients);
     for (int client = 0; client < half_sending_clients; ++client) {
-        connections.push_back(std::make_unique<unread_connection>(addresses_[0].callers));
+        connections.push_back(std::make_unique<unread_connection>(addresses[0].callers));
         connections.back()->send_repeatedly(half_sent, half_sent.size(),
                                             [this] { return over_memory_limit(); });
     }
@@ -302,8 +305,9 @@
 TEST_F(overload_test, idle_connections_stay_within_the_limits)
 {
     std::vector<std::unique_ptr<unread_connection>> connections;
+    connections.reserve(idle_clients);
     for (int client = 0; client < idle_clients; ++client) {
-        connections.push_back(std::make_unique<unread_connection>(addresses_[0].callers));
+        connections.push_back(std::make_unique<unread_connection>(addresses[0].callers));
     }
     expect_nodes_work();
 }
