--- a/src/decisions/locality_wait.cpp
+++ b/src/decisions/locality_wait.cpp
@@ -12,7 +12,7 @@
 
 bool covers(const task_resources& available, const task_resources& request)
 {
-    // A claim of a resource that is not free yet must not delay tasks that need none of it.
+    // What is free may be negative because of claims, which must not delay tasks that need none.
     const auto covered = [](std::int64_t free, std::int64_t needed) {
         return needed == 0 || free >= needed;
     };
@@ -32,9 +32,12 @@
     const auto remote_duration =
         std::chrono::duration_cast<std::chrono::nanoseconds>(preferred * choice.remote_factor);
     const auto saving = remote_duration - choice.preferred_duration;
-    if (*choice.preferred_wait >= saving || choice.waited >= saving || choice.waited >= max_wait) {
+    if (*choice.preferred_wait >= saving || choice.waited >= saving) {
         return false;
     }
+    if (choice.waited >= max_wait || choice.waited + *choice.preferred_wait > max_wait) {
+        return false; // the limit would end the wait before it has paid
+    }
     // A start elsewhere must still be on time if the rack is not free after the expected wait,
     // unless it is late already.
     const auto remote_end = remote_duration + choice.later_steps;
--- a/src/decisions/locality_wait.h
+++ b/src/decisions/locality_wait.h
@@ -21,9 +21,9 @@
 
 // Decides whether the task keeps waiting for its preferred rack (delay scheduling).
 //
-// It waits while it ends earlier that way than on another rack, and for no longer in total than the
-// preferred rack can save or 2 s. It does not wait if a start elsewhere is on time now and would
-// not be any more after the expected wait.
+// It waits while it ends earlier that way than on another rack; in total no longer than the
+// preferred rack can save, and at most 2 s. It does not wait if a start elsewhere is on time now
+// and would not be any more after the expected wait.
 //
 // Load patterns:
 // - Data lies on a rack whose tasks end soon: a start elsewhere at once would take longer.
--- a/src/decisions/locality_wait_test.cpp
+++ b/src/decisions/locality_wait_test.cpp
@@ -43,6 +43,17 @@
     EXPECT_FALSE(waits_for_preferred_rack(choice));
 }
 
+// Guards against a task that waits in vain: its rack is free only after the limit of all waits.
+TEST(locality_wait, does_not_begin_a_wait_that_the_limit_would_end)
+{
+    auto choice = one_second_task();
+    choice.preferred_duration = 10s;
+    choice.preferred_wait = 1900ms;
+    EXPECT_TRUE(waits_for_preferred_rack(choice));
+    choice.preferred_wait = 10s;
+    EXPECT_FALSE(waits_for_preferred_rack(choice));
+}
+
 // Guards against an expected wait that is never over: tasks on the rack take longer than learned.
 TEST(locality_wait, ends_although_the_rack_never_becomes_free)
 {
--- a/src/decisions/team_admission.cpp
+++ b/src/decisions/team_admission.cpp
@@ -10,8 +10,8 @@
 
 // Only a change of the configuration can help a job beyond its team's quota.
 constexpr std::chrono::seconds beyond_quota_delay{30};
-// Short delays are spread as well.
-constexpr std::chrono::milliseconds min_delay_before_spread{500};
+// Long enough that the spread survives rounding up to whole seconds.
+constexpr std::chrono::milliseconds min_delay_before_spread{1000};
 constexpr std::chrono::seconds max_delay_before_spread{30};
 
 } // namespace
--- a/src/decisions/team_admission.h
+++ b/src/decisions/team_admission.h
@@ -9,8 +9,8 @@
 
 // What is known when a job is submitted.
 struct admission_request {
-    bool fits_quota = true;  // false: a gang of the job can never start under the quota
-    bool within_rate = true; // the team has not used up its rate of jobs
+    bool fits_quota = true; // false: a gang of the job exceeds the quota (a single task runs alone)
+    bool within_rate = true;                // the team has not used up its rate of jobs
     std::chrono::nanoseconds rate_delay{0}; // until the team is within its rate again
     std::chrono::nanoseconds backlog{0};    // time that the pool needs for the work that waits
     // The job misses its objective if its first task waits for longer.
--- a/src/jobs/engine_submissions.cpp
+++ b/src/jobs/engine_submissions.cpp
@@ -198,7 +198,7 @@
 access_decision engine::check_access(const std::string& id, const caller_access& caller) const
 {
     const auto found = jobs_.all().find(id);
-    if (found == jobs_.all().end()) {
+    if (found == jobs_.all().end() || !config_->checks_keys) {
         return access_decision::granted;
     }
     const auto& spec = found->second->spec;
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -547,6 +547,12 @@
               access_decision::other_team);
     EXPECT_EQ(fleet.submit(make_job("00000000000000a2", 1, 1), 2000ms, "k1"),
               submit_outcome::unauthorized);
+    // A configuration without teams checks no keys, also for jobs that have a team.
+    fleet.documents.config.checks_keys = false;
+    fleet.documents.config.teams = {};
+    fleet.store.put("op/config", "");
+    fleet.timers.run_for(100ms);
+    EXPECT_EQ(fleet.leader()->check_access(job_id, {}), access_decision::granted);
     EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 30s));
 }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -149,13 +149,19 @@
 // Time that the pool needs for this work.
 std::chrono::nanoseconds time_for(double core_seconds, const task_resources& pool_size)
 {
+    if (core_seconds <= 0) {
+        return 0ns;
+    }
+    if (pool_size.millicores <= 0) {
+        return max_backlog; // no worker is left or known yet
+    }
     const double cores = static_cast<double>(pool_size.millicores) / 1000.0;
-    const std::chrono::duration<double> time{cores > 0 ? core_seconds / cores : 0.0};
+    const std::chrono::duration<double> time{core_seconds / cores};
     return std::chrono::duration_cast<std::chrono::nanoseconds>(
         std::min<std::chrono::duration<double>>(time, max_backlog));
 }
 
-// Workers without a rack are on none.
+// Returns the racks of the usable workers. Workers without a rack are left out.
 std::set<std::string_view> racks_of(const pool_candidates& pool)
 {
     std::set<std::string_view> racks;
@@ -167,7 +173,8 @@
     return racks;
 }
 
-// Returns what becomes free when the task ends.
+// Returns what becomes free when the task ends. Fillers use only idle CPU time, so they release
+// none.
 task_resources releasable(const task& assigned)
 {
     auto amount = assigned.spec().request;
@@ -362,9 +369,9 @@
     double core_seconds = 0;
     task_resources pool_size;
     pool_teams teams(config.teams);
-    // All workers of the pool, also those that accept no task right now.
+    // All registered workers of the pool, also those that accept no task right now.
     for (const auto& [worker, handle] : runner_.worker_handles()) {
-        if (handle.info().service != service || !handle.registered) {
+        if (handle.info().service != service || !handle.registered || handle.session->dead()) {
             continue;
         }
         pool_size += handle.info().capacity;
@@ -626,7 +633,7 @@
     align_gang(members);
     for (std::size_t index = 0; index < members.size(); ++index) {
         launch(*members[index], chosen[index], {}, pool);
-        // Its members slow each other down as if they were away from their data.
+        // A gang that spans racks runs at the speed of a task outside its preferred rack.
         members[index]->on_remote_rack =
             members[index]->on_remote_rack || (same_rack && !on_one_rack);
     }
@@ -652,7 +659,8 @@
 }
 
 // Covers the tasks that end by themselves. What is free on a worker counts with the end of one task
-// there, because it was too little for the task that waits.
+// there, and not at once: for a single task it was too little. Workers on which nothing ends do not
+// count, so a gang may be spread over racks although some of its members would fit on one.
 decisions::rack_forecast& job_scheduler::forecast_of(std::string_view rack,
                                                      pool_candidates& pool) const
 {
--- a/src/net/async_server.cpp
+++ b/src/net/async_server.cpp
@@ -24,9 +24,9 @@
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
 constexpr int internal_server_error_status = 500;
 constexpr int service_unavailable_status = 503;
-// What a request takes beside its bytes while it is handled, roughly.
+// Estimated memory of a parsed request and its bookkeeping, in addition to its bytes.
 constexpr std::size_t request_overhead_bytes = 2U << 10U;
-constexpr int max_discarded_chunks = 64;
+constexpr int max_discarded_chunks = 64; // bounds the time for a client that keeps sending
 constexpr const char* overload_retry_after_s = "1";
 // Pause of accept() after the process has run out of descriptors.
 constexpr std::chrono::milliseconds accept_pause{100};
@@ -114,7 +114,7 @@
         message_buffer input;
         std::string output;
         boot_time last_activity = boot_clock::now();
-        boot_time receiving_since{};         // since when the request in `input` is incomplete
+        boot_time receiving_since{};         // see async_server_limits::max_receive_time
         std::size_t bytes_being_handled = 0; // size of the current request
         std::uint32_t watched_events = EPOLLIN;
         bool busy = false;                   // the handler has not answered the current request yet
@@ -271,8 +271,9 @@
     }
 
     // Clients that do not read their responses, or never complete their requests, must not keep
-    // those of others out. Closes the connection of the first kind that has been inactive for
-    // longest, else the one whose request began first. Returns false if there is neither.
+    // those of others out. Closes the connection with an unsent response that has been inactive
+    // longest; if there is none, the one whose buffered request began first. Returns false if there
+    // is neither.
     bool close_to_free_memory()
     {
         connection_ptr unread;
@@ -289,15 +290,15 @@
                 }
             }
         }
-        const auto& closed = unread ? unread : partial;
-        if (!closed) {
+        const auto& victim = unread ? unread : partial;
+        if (!victim) {
             return false;
         }
         log_event(log_level::info, "server.connection_dropped",
-                  {{"reason", unread ? "unread response" : "partial request"},
-                   {"received_bytes", std::to_string(closed->input.size())},
-                   {"unsent_bytes", std::to_string(closed->output.size())}});
-        close(closed);
+                  {{"reason", unread ? "unread response" : "unhandled request"},
+                   {"received_bytes", std::to_string(victim->input.size())},
+                   {"unsent_bytes", std::to_string(victim->output.size())}});
+        close(victim);
         return true;
     }
 
@@ -377,8 +378,9 @@
 
     void send(const connection_ptr& conn, const http::response& response)
     {
-        conn->output += serialize(response, !conn->close_after_write);
-        buffered_bytes_ += conn->output.size();
+        const auto bytes = serialize(response, !conn->close_after_write);
+        conn->output += bytes;
+        buffered_bytes_ += bytes.size();
         flush(conn);
         enforce_memory_limit();
     }
@@ -396,6 +398,7 @@
             }
             if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
                 conn->output.erase(0, sent);
+                conn->output.shrink_to_fit();
                 buffered_bytes_ -= sent;
                 watch_events(conn, conn->watched_events | EPOLLOUT);
                 return;
--- a/src/net/async_server.h
+++ b/src/net/async_server.h
@@ -23,7 +23,7 @@
     std::size_t max_buffered_bytes = 32U << 20U;
     // Of a connection without any received or sent byte, unless a request is being handled.
     std::chrono::milliseconds idle_timeout{15000};
-    // From the first byte of a request to its last one.
+    // From the first byte of a request, or the end of the previous response, to its last byte.
     std::chrono::milliseconds max_receive_time{60000};
 };
 
--- a/src/net/http_framing.cpp
+++ b/src/net/http_framing.cpp
@@ -71,8 +71,8 @@
     }
     std::string body = bytes_.substr(head_bytes, length);
     bytes_.erase(0, head_bytes + length);
-    if (bytes_.empty() && bytes_.capacity() > max_head_bytes_) {
-        std::string().swap(bytes_); // an idle connection must not keep the memory of a large body
+    if (bytes_.capacity() > max_head_bytes_ + bytes_.size()) {
+        bytes_.shrink_to_fit(); // a connection must not keep the memory of a large body
     }
     return body;
 }
