One function for what a task occupies on its worker

That fillers occupy no CPU stood three times: in the candidates' free and releasable amounts and in the rack forecast. No change of behavior. jobs_test, decisions_test, adapter_test, net_test and teams_test pass without the known failures; clang-tidy is clean on the changed files.

--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -173,17 +173,6 @@
     return racks;
 }
 
-// Returns what becomes free when the task ends. Fillers use only idle CPU time, so they release
-// none.
-task_resources releasable(const task& assigned)
-{
-    auto amount = assigned.spec().request;
-    if (assigned.spec().filler) {
-        amount.millicores = 0;
-    }
-    return amount;
-}
-
 bool has_waiting_task(const job& target, net::boot_time now)
 {
     return find_task_if(target, [now](const task& candidate) {
@@ -681,7 +670,7 @@
             if (assigned->spec().long_running) {
                 continue;
             }
-            auto amount = releasable(*assigned);
+            auto amount = occupied_resources(assigned->spec());
             amount += std::exchange(free, {});
             const double factor = assigned->on_remote_rack ? remote_slowdown_factor_ : 1.0;
             const milliseconds duration(static_cast<std::int64_t>(
--- a/src/jobs/pool_candidates.cpp
+++ b/src/jobs/pool_candidates.cpp
@@ -33,9 +33,10 @@
     if (spec.long_running && assigned.phase != task_phase::stopping) {
         return;
     }
-    candidate.releasable_millicores += spec.filler ? 0 : spec.request.millicores;
-    candidate.releasable_memory_mb += spec.request.memory_mb;
-    candidate.releasable_accelerators += spec.request.accelerators;
+    const auto occupied = occupied_resources(spec);
+    candidate.releasable_millicores += occupied.millicores;
+    candidate.releasable_memory_mb += occupied.memory_mb;
+    candidate.releasable_accelerators += occupied.accelerators;
 }
 
 decisions::candidate_worker make_candidate(const worker_handle& handle, net::boot_time now)
@@ -102,11 +103,21 @@
     return demand;
 }
 
+task_resources occupied_resources(const step_spec& spec)
+{
+    auto occupied = spec.request;
+    if (spec.filler) {
+        occupied.millicores = 0;
+    }
+    return occupied;
+}
+
 void subtract_demand(decisions::candidate_worker& candidate, const step_spec& spec)
 {
-    candidate.free_millicores -= spec.filler ? 0 : spec.request.millicores;
-    candidate.free_memory_mb -= spec.request.memory_mb;
-    candidate.free_accelerators -= spec.request.accelerators;
+    const auto occupied = occupied_resources(spec);
+    candidate.free_millicores -= occupied.millicores;
+    candidate.free_memory_mb -= occupied.memory_mb;
+    candidate.free_accelerators -= occupied.accelerators;
     candidate.serving_tasks += spec.latency_target > 0ms ? 1 : 0;
     candidate.filler_tasks += spec.filler ? 1 : 0;
 }
--- a/src/jobs/pool_candidates.h
+++ b/src/jobs/pool_candidates.h
@@ -14,6 +14,8 @@
 
 // Returns what the task requires of its worker.
 decisions::task_demand demand_of(const task& target);
+// Returns what a task of the step occupies on its worker. Fillers use only idle CPU time.
+task_resources occupied_resources(const step_spec& spec);
 // Takes a task of the step off what is free on the worker.
 void subtract_demand(decisions::candidate_worker& candidate, const step_spec& spec);
 
