--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=build/review-3
+rm -rf "$out" # it may have been carried over from another machine
 cmake -S . -B "$out" -DCMAKE_BUILD_TYPE=Release -G "Unix Makefiles"
 cmake --build "$out" --target jl-standin-users-platform -j6
 g++ -std=c++17 -O2 -Wall -Wextra -pthread review/11/tool.cpp -o "$out/bin/review-3-tool"
