Count open orders to former incarnations in the bounds of leases

The leader took the lease for expired while the other tasks there ran on.

Cause: the bound of a lease covered answered orders and the moment at which a restart was noticed, not the orders that were still open. They may be carried out 20 s later, by an incarnation that has seen no fencing token.

Why this works: on a restart, each open order with a lease counts as carried out at its latest moment, in the roster's entry too. The session's token rises to the revision of the newest commit of this leadership, which is above the tokens of all earlier orders and below that of any later leader; once the new incarnation has reported under it, it refuses the open orders, and only the longest lease from then on counts. A task whose own start is open stays with its worker until no such start can run.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -108,7 +108,8 @@
     void on_worker_item(const store_item& item);
     // Adds the worker to the roster, or updates its entry. Returns false if nothing has changed.
     bool record_worker(const worker_handle& handle);
-    // Records that the longest lease of workers that have restarted is over.
+    // Records that the longest lease of workers that have restarted is over, or that no order to a
+    // former incarnation is open any more.
     void record_ended_leases();
 
     std::optional<record_writer::record> encode_record(const std::string& key);
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -135,7 +135,7 @@
         auto& handle = *runner_->find_worker(entry.worker);
         handle.roster_entry_durable = true;
         if (entry.longest_lease) {
-            handle.session->expect_longest_lease();
+            handle.session->expect_longest_lease(entry.earlier_orders_open);
             workers_with_longest_lease_.insert(entry.worker);
         }
     }
@@ -145,7 +145,8 @@
 {
     const auto& info = handle.info();
     return roster_.set({info.id, info.service, info.address, info.vm,
-                        handle.session->started_at_ms(), handle.session->may_have_longest_lease()});
+                        handle.session->started_at_ms(), handle.session->may_have_longest_lease(),
+                        handle.session->earlier_orders_open()});
 }
 
 void engine::on_worker_restarted(worker_handle& handle)
@@ -154,6 +155,7 @@
         handle.roster_entry_durable = false;
     }
     workers_with_longest_lease_.insert(handle.info().id);
+    handle.session->raise_token(writer_->newest_revision());
 }
 
 void engine::record_ended_leases()
@@ -161,13 +163,13 @@
     for (auto next = workers_with_longest_lease_.begin();
          next != workers_with_longest_lease_.end();) {
         const auto* const handle = runner_->find_worker(*next);
+        if (handle != nullptr) {
+            record_worker(*handle);
+        }
         if (handle != nullptr && handle->session->may_have_longest_lease()) {
             ++next;
             continue;
         }
-        if (handle != nullptr) {
-            record_worker(*handle);
-        }
         next = workers_with_longest_lease_.erase(next);
     }
 }
@@ -278,6 +280,7 @@
     for (const auto& worker : roster_.on_durable(key, version)) {
         if (auto* const handle = runner_->find_worker(worker)) {
             handle->roster_entry_durable = true;
+            handle->session->raise_token(writer_->newest_revision());
         }
     }
     schedule_tick();
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -239,8 +239,9 @@
 {
     json rows = json::array();
     for (const auto& entry : roster) {
-        rows.push_back(json::array({entry.worker, entry.service, entry.address.to_string(),
-                                    entry.vm, entry.started_at_ms, entry.longest_lease}));
+        rows.push_back(
+            json::array({entry.worker, entry.service, entry.address.to_string(), entry.vm,
+                         entry.started_at_ms, entry.longest_lease, entry.earlier_orders_open}));
     }
     return to_bytes(rows);
 }
@@ -267,6 +268,7 @@
                 entry.started_at_ms = row.at(4).get<std::int64_t>();
             }
             entry.longest_lease = row.size() > 5 && row.at(5).get<bool>();
+            entry.earlier_orders_open = row.size() > 6 && row.at(6).get<bool>();
             roster.push_back(std::move(entry));
         }
         return roster;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -26,12 +26,15 @@
     std::int64_t started_at_ms = 0; // 0: not known
     // An order to a former incarnation may have granted the present one the longest lease.
     bool longest_lease = false;
+    // Such an order may still be carried out, see worker_session::earlier_orders_open().
+    bool earlier_orders_open = false;
 
     bool operator==(const roster_entry& other) const
     {
         return worker == other.worker && service == other.service && address == other.address &&
                vm == other.vm && started_at_ms == other.started_at_ms &&
-               longest_lease == other.longest_lease;
+               longest_lease == other.longest_lease &&
+               earlier_orders_open == other.earlier_orders_open;
     }
 };
 std::string encode_roster(const std::vector<roster_entry>& roster);
--- a/src/jobs/record_writer.cpp
+++ b/src/jobs/record_writer.cpp
@@ -175,6 +175,7 @@
         }
         return;
     }
+    newest_revision_ = std::max(newest_revision_, result.value->revision);
     for (const auto& record : batch) {
         unconfirmed_.erase(record.key);
         if (record.removed) {
--- a/src/jobs/record_writer.h
+++ b/src/jobs/record_writer.h
@@ -53,6 +53,9 @@
     // Schedules a write of the record.
     void mark_dirty(const std::string& key);
     bool all_written() const { return dirty_keys_.empty() && transactions_in_flight_ == 0; }
+    // The store's revision of the last commit; 0 if there was none. It is lower than the token of
+    // any later leader, because each commit depends on the leader key.
+    std::int64_t newest_revision() const { return newest_revision_; }
     // True if the last transaction to finish failed or got no answer.
     bool writes_failing() const { return consecutive_failures_ > 0; }
     // How long transactions have got no answer; nothing if the last one to finish was answered.
@@ -87,6 +90,7 @@
     std::map<std::string, std::int64_t> revisions_; // by key; absent: the key does not exist
     // The last write of a record that got no answer, by key.
     std::map<std::string, written_record> unconfirmed_;
+    std::int64_t newest_revision_ = 0;
     int transactions_in_flight_ = 0;
     net::boot_clock::duration last_commit_latency_{};
     int consecutive_failures_ = 0;
--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -111,6 +111,21 @@
     expect_completion_without_violation();
 }
 
+// Guards against the same where the worker is cut off before its leader hears of the restart.
+TEST_P(late_start_after_restart, does_not_run_beside_the_next_run_if_the_restart_is_unseen)
+{
+    const auto [delay, restart_after] = GetParam();
+    start_leader();
+    fleet.workers.late_order_delay = delay;
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(restart_after);
+    fleet.renewals_paused = true;
+    fleet.workers.restart("w0");
+    cut_off_first_worker(20s);
+    expect_completion_without_violation();
+}
+
 INSTANTIATE_TEST_SUITE_P(moments, late_start_after_restart,
                          ::testing::Combine(::testing::Values(2000ms, 4000ms, 6000ms, 8000ms),
                                             ::testing::Values(100ms, 700ms, 1500ms)));
@@ -407,6 +422,34 @@
     expect_no_violation();
 }
 
+// Guards against a next leader that counts the longest lease from its own start, although an order
+// of its predecessor to a former incarnation is still open.
+TEST_F(unseen_restarts, next_leader_counts_late_orders_of_its_predecessor_to_a_former_incarnation)
+{
+    start_leader();
+    fleet.workers.latency = 100ms; // the leader is lost before the restarted worker has seen more
+    fleet.timers.run_for(3s);
+    fleet.workers.late_order_delay = 9s;
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(20ms); // the start is on its way
+    fleet.workers.restart("w0");
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    ASSERT_EQ(fleet.submit(make_job(other_job, 1, 1)), submit_outcome::accepted);
+    ASSERT_TRUE(await_running(other_task, 300ms));
+    ASSERT_EQ(fleet.workers.worker_of(other_task), "w0");
+    fleet.timers.run_for(120ms); // the leader has heard of the restart and has recorded it
+    fleet.kill("a");
+    fleet.workers.set_mode("w0", worker_mode::unreachable);
+    fleet.workers.refuse_starts("w1", order_status::accepted);
+    fleet.add_node("b");
+    fleet.timers.run_for(16s);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    fleet.timers.run_for(2s);
+    expect_no_violation();
+}
+
 // Guards against a next leader that counts too short a lease because its predecessor, which knew of
 // the restart, could not record it.
 TEST_F(unseen_restarts, next_leader_counts_the_longest_lease_though_the_roster_was_not_written)
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -708,7 +708,7 @@
 // longest lease.
 net::boot_time task_runner::oldest_open_start() const
 {
-    return timers_.now() - late_execution_limit - settings_.session.max_lease;
+    return timers_.now() - late_execution_limit - longest_lease(settings_.session.max_lease);
 }
 
 void task_runner::expire_open_starts()
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -160,10 +160,9 @@
 
 bool task_runner::may_run_unseen(const worker_handle& handle, const task& target) const
 {
-    // The clock in an answer tells of a longer lease, see session_listener::on_new_clock(); without
-    // an answer nothing does.
-    if (!target.reported && start_is_open(target) &&
-        timers_.now() < handle.session->lease_bound_after_unseen_restart()) {
+    // The clock in an answer tells of a longer lease, see session_listener::on_restart_suspected();
+    // without an answer nothing does.
+    if (!target.reported && start_is_open(target)) {
         return true;
     }
     const bool stop_unconfirmed =
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -60,6 +60,11 @@
 
 } // namespace
 
+net::boot_clock::duration longest_lease(milliseconds max_lease)
+{
+    return on_local_clock(max_lease) + expiry_margin;
+}
+
 const char* to_string(loss_cause cause)
 {
     switch (cause) {
@@ -99,7 +104,8 @@
       hold_poll_(hold_wait),
       born_(info_.started_at_ms),
       answered_at_address_(settings_.previous_leader_lease > 0ms),
-      lease_bound_(timers.now() + on_local_clock(settings_.previous_leader_lease) + expiry_margin)
+      lease_bound_(timers.now() + on_local_clock(settings_.previous_leader_lease) + expiry_margin),
+      created_at_(timers.now())
 {
     check_lease_expiry();
     schedule_hold(0ms);
@@ -211,7 +217,7 @@
 
 bool worker_session::resolved() const
 {
-    return all_ends_read() || dead_ || timers_.now() >= lease_bound_;
+    return all_ends_read() || dead_ || timers_.now() >= lease_bound();
 }
 
 void worker_session::request_report()
@@ -244,7 +250,7 @@
     const auto elapsed =
         std::chrono::duration_cast<milliseconds>(timers_.now() - worker_clock_read_at_);
     const auto until = *worker_clock_ + elapsed + settings_.lease;
-    lease_order_sent_at_ = timers_.now();
+    open_lease_orders_.on_sent(timers_.now());
     raise_lease_bound(worker_clock_read_at_ + on_local_clock(until - *worker_clock_) +
                       expiry_margin);
     return until;
@@ -257,34 +263,86 @@
     check_lease_expiry();
 }
 
-void worker_session::expect_longest_lease()
+net::boot_time worker_session::lease_bound() const
+{
+    return earlier_orders_
+               ? std::max(lease_bound_, earlier_orders_->until + longest_lease(settings_.max_lease))
+               : lease_bound_;
+}
+
+bool worker_session::may_have_longest_lease() const
 {
-    raise_longest_lease_bound(timers_.now() + settings_.previous_leader_time);
+    return timers_.now() < longest_lease_bound_ ||
+           (earlier_orders_ && timers_.now() < lease_bound());
+}
+
+bool worker_session::earlier_orders_open() const
+{
+    return earlier_orders_ && timers_.now() < earlier_orders_->until;
+}
+
+void worker_session::expect_longest_lease(bool earlier_orders_open)
+{
+    const auto end_of_leadership = timers_.now() + settings_.previous_leader_time;
+    if (earlier_orders_open) {
+        earlier_orders_ = earlier_orders{end_of_leadership + late_execution_limit, token_ - 1};
+    }
+    raise_longest_lease_bound(end_of_leadership);
 }
 
 void worker_session::raise_longest_lease_bound(net::boot_time last_order)
 {
-    const auto bound = last_order + on_local_clock(settings_.max_lease) + expiry_margin;
+    const auto bound = last_order + longest_lease(settings_.max_lease);
     longest_lease_bound_ = std::max(longest_lease_bound_, bound);
     raise_lease_bound(bound);
 }
 
-net::boot_time worker_session::lease_bound_after_unseen_restart() const
+// A lease ends at a time on the worker's clock, which starts anew with each incarnation, so an
+// order to the former one grants the longest lease, whenever it is carried out. The new incarnation
+// has seen no token, so it refuses none of these orders until it has answered one with a higher
+// token.
+void worker_session::count_leases_across_restart()
 {
-    return lease_order_sent_at_ + max_answer_wait + on_local_clock(settings_.max_lease) +
-           expiry_margin;
+    const auto own = open_lease_orders_.open_until(timers_.now());
+    const auto previous = last_order_of_previous_leader();
+    if (own || previous) {
+        const auto until =
+            std::max(own.value_or(net::boot_time{}), previous.value_or(net::boot_time{}));
+        const auto token = own ? token_ : token_ - 1;
+        const auto known = earlier_orders_.value_or(earlier_orders{until, token});
+        earlier_orders_ =
+            earlier_orders{std::max(known.until, until), std::max(known.token, token)};
+    }
+    raise_longest_lease_bound(timers_.now());
 }
 
-// A lease ends at a time on the worker's clock, which starts anew with each incarnation, so an
-// order to the former one grants the longest lease. Orders of previous leaders are refused once the
-// worker has answered this one.
-void worker_session::count_leases_across_restart()
+std::optional<net::boot_time> worker_session::last_order_of_previous_leader() const
+{
+    const auto last = created_at_ + settings_.previous_leader_time + late_execution_limit;
+    return settings_.previous_leader_lease > 0ms && timers_.now() < last ? std::make_optional(last)
+                                                                         : std::nullopt;
+}
+
+void worker_session::raise_token(std::int64_t token)
+{
+    const bool refuses_open_orders = !earlier_orders_ || token_ > earlier_orders_->token;
+    if (dead_ || refuses_open_orders || token <= token_) {
+        return;
+    }
+    log_event(log_level::info, "worker.token_raised",
+              {{"worker", info_.id},
+               {"incarnation", std::to_string(born_)},
+               {"token", std::to_string(token)}});
+    token_ = token;
+    request_report();
+}
+
+void worker_session::settle_earlier_orders(std::int64_t token)
 {
-    const bool has_late_orders_of_previous_leader =
-        !contacted_ && settings_.previous_leader_lease > 0ms;
-    const auto last_order =
-        has_late_orders_of_previous_leader ? timers_.now() + late_execution_limit : timers_.now();
-    raise_longest_lease_bound(last_order);
+    if (earlier_orders_ && token > earlier_orders_->token) {
+        earlier_orders_.reset();
+        raise_longest_lease_bound(timers_.now()); // one may just have been carried out
+    }
 }
 
 void worker_session::send_hold()
@@ -312,30 +370,35 @@
     }
     report_requested_ = false;
     last_hold_sent_at_ = timers_.now();
-    const auto requested_at = last_hold_sent_at_;
-    const auto timeout = order.wait + answer_timer_.timeout();
-    port_->hold(
-        order, timeout,
-        [this, requested_at, timeout, answer_at_once, alive = alive_](const hold_report& report) {
-            if (!*alive) {
-                return;
-            }
-            if (answer_at_once) {
-                record_round_trip(report.result, requested_at);
-            }
-            record_loss(report.result);
-            on_hold(report, requested_at, timeout);
-        });
+    sent_hold sent;
+    sent.at = last_hold_sent_at_;
+    sent.timeout = order.wait + answer_timer_.timeout();
+    sent.token = token_;
+    sent.has_lease = order.lease_until.has_value();
+    sent.waits = !answer_at_once;
+    port_->hold(order, sent.timeout, [this, sent, alive = alive_](const hold_report& report) {
+        if (!*alive) {
+            return;
+        }
+        if (!sent.waits) {
+            record_round_trip(report.result, sent.at);
+        }
+        record_loss(report.result);
+        on_hold(report, sent);
+    });
 }
 
-void worker_session::on_hold(const hold_report& report, net::boot_time requested_at,
-                             milliseconds timeout)
+void worker_session::on_hold(const hold_report& report, const sent_hold& sent)
 {
     hold_in_flight_ = false;
+    if (sent.has_lease) {
+        close_lease_order(report.result, sent.at);
+    }
     if (dead_) {
         return; // an answer of an incarnation that has ended
     }
-    if (may_be_of_former_incarnation(report.result, requested_at)) {
+    if (may_be_of_former_incarnation(report.result, sent.at) ||
+        refused_for_later_order(report.result, sent.token)) {
         schedule_hold(0ms); // its ends and runs are numbered apart from those of the present one
         return;
     }
@@ -353,7 +416,7 @@
         }
         [[fallthrough]]; // the worker is not at an address that only a registration states
     default:
-        on_failed_hold(report.result, requested_at, timeout);
+        on_failed_hold(report.result, sent);
         return;
     }
     if (failed_holds_ > 0) {
@@ -365,12 +428,15 @@
     if (!*alive) {
         return;
     }
-    note_presence(requested_at);
-    drop_refuted_hint(report.result, requested_at);
+    note_presence(sent.at);
+    drop_refuted_hint(report.result, sent.at);
+    if (report.result.started_at_ms == born_) {
+        settle_earlier_orders(sent.token);
+    }
     contacted_ = true;
     answered_at_address_ = true;
     has_more_ends_ = report.has_more_ends;
-    listener_.on_report(*this, report, requested_at);
+    listener_.on_report(*this, report, sent.at);
     if (!*alive || dead_) {
         return;
     }
@@ -386,13 +452,12 @@
     }
 }
 
-void worker_session::on_failed_hold(const order_result& result, net::boot_time requested_at,
-                                    milliseconds timeout)
+void worker_session::on_failed_hold(const order_result& result, const sent_hold& sent)
 {
     const auto alive = alive_;
-    const auto waited = timers_.now() - requested_at;
-    record_broken_connection(requested_at, timeout);
-    record_failure(to_string(result.status), waited >= min_broken_wait && waited < timeout);
+    const auto waited = timers_.now() - sent.at;
+    record_broken_connection(sent.at, sent.timeout);
+    record_failure(to_string(result.status), waited >= min_broken_wait && waited < sent.timeout);
     if (!*alive) {
         return;
     }
@@ -400,10 +465,10 @@
                           result.status != order_status::not_sent &&
                           result.status != order_status::other_worker;
     if (answered) {
-        note_presence(requested_at);
+        note_presence(sent.at);
     }
     else {
-        note_absence(requested_at);
+        note_absence(sent.at);
     }
     if (*alive && !dead_) {
         const bool ask_at_once = failed_holds_ == 1 || presence_check_;
@@ -421,6 +486,18 @@
     }
 }
 
+void worker_session::close_lease_order(const order_result& result, net::boot_time sent_at)
+{
+    if (result.status != order_status::unanswered) {
+        open_lease_orders_.on_closed(sent_at);
+    }
+}
+
+bool worker_session::refused_for_later_order(const order_result& result, std::int64_t token) const
+{
+    return result.status == order_status::fenced && token < token_;
+}
+
 bool worker_session::of_former_incarnation(const order_result& result) const
 {
     return result.status != order_status::other_worker && result.started_at_ms != 0 &&
@@ -462,7 +539,7 @@
         log_event(log_level::info, "worker.new_clock",
                   {{"worker", info_.id}, {"known_incarnation", std::to_string(born_)}});
         worker_clock_.reset();
-        raise_longest_lease_bound(timers_.now());
+        count_leases_across_restart();
         request_report();
         listener_.on_restart_suspected(*this);
         if (!*alive) {
@@ -531,7 +608,7 @@
 {
     timers_.cancel(lease_timer_);
     lease_timer_ = 0;
-    const auto left = lease_bound_ - timers_.now();
+    const auto left = lease_bound() - timers_.now();
     if (left > 0ms) {
         lease_timer_ = timers_.call_after(left, [this] {
             lease_timer_ = 0;
@@ -558,20 +635,25 @@
 // Returns a callback that records the worker's clock and incarnation from an answer before it calls
 // `done`. An answer that an earlier incarnation has given or may have given is passed on as none.
 std::function<void(const order_result&)>
-worker_session::with_result_recorded(std::function<void(const order_result&)> done)
+worker_session::with_result_recorded(bool has_lease, std::function<void(const order_result&)> done)
 {
-    return [this, alive = alive_, sent_at = timers_.now(), timeout = answer_timer_.timeout(),
-            incarnation_when_sent = born_, done = std::move(done)](const order_result& result) {
+    return [this, has_lease, alive = alive_, sent_at = timers_.now(),
+            timeout = answer_timer_.timeout(), incarnation_when_sent = born_, token = token_,
+            done = std::move(done)](const order_result& result) {
         if (!*alive) {
             return;
         }
+        if (has_lease) {
+            close_lease_order(result, sent_at);
+        }
         record_round_trip(result, sent_at);
         record_loss(result);
         if (result.status == order_status::unanswered) {
             record_broken_connection(sent_at, timeout);
         }
         if (may_be_of_former_incarnation(result, sent_at) ||
-            may_precede_restart(result, incarnation_when_sent, born_)) {
+            may_precede_restart(result, incarnation_when_sent, born_) ||
+            refused_for_later_order(result, token)) {
             done(order_result{}); // it says nothing about the present incarnation
             return;
         }
@@ -624,7 +706,7 @@
     }
     order.lease_until = *until;
     order.fencing_token = token_;
-    port_->start(order, answer_timer_.timeout(), with_result_recorded(std::move(done)));
+    port_->start(order, answer_timer_.timeout(), with_result_recorded(true, std::move(done)));
     if (!hold_in_flight_ && hold_timer_ == 0) {
         schedule_hold(hold_interval);
     }
@@ -637,7 +719,7 @@
         return;
     }
     order.fencing_token = token_;
-    port_->stop(order, answer_timer_.timeout(), with_result_recorded(std::move(done)));
+    port_->stop(order, answer_timer_.timeout(), with_result_recorded(false, std::move(done)));
 }
 
 void worker_session::pace(pace_order order, std::function<void(const order_result&)> done)
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -10,6 +10,7 @@
 
 #include "decisions/long_poll.h"
 #include "decisions/retransmission_timer.h"
+#include "jobs/open_lease_orders.h"
 #include "jobs/ports.h"
 #include "net/timer_service.h"
 
@@ -29,6 +30,10 @@
 
 class worker_session;
 
+// Upper bound, on the boot clock of this process, of the time for which a task on a worker runs
+// after the last order that has prolonged its lease.
+net::boot_clock::duration longest_lease(milliseconds max_lease);
+
 // How the leader learned that no task of a worker runs any more.
 enum class loss_cause {
     restarted,     // the worker has restarted under the same id
@@ -127,14 +132,20 @@
     // True if all tasks of previous leaders that may still run on the worker are known.
     bool resolved() const;
     // Upper bound on the time at which the lease of all tasks on the worker ends.
-    net::boot_time lease_bound() const { return lease_bound_; }
-    // The same for tasks on an incarnation that the leader has not heard of, which may have taken
-    // an order to the known one.
-    net::boot_time lease_bound_after_unseen_restart() const;
-    // True while an order to a former incarnation may have granted the longest lease.
-    bool may_have_longest_lease() const { return timers_.now() < longest_lease_bound_; }
-    // A previous leader has found may_have_longest_lease() to be true.
-    void expect_longest_lease();
+    net::boot_time lease_bound() const;
+    // True while an order to a former incarnation may have granted the longest lease, or may do so
+    // yet.
+    bool may_have_longest_lease() const;
+    // True while such an order may still be carried out: the present incarnation has not answered
+    // an order with a higher token.
+    bool earlier_orders_open() const;
+    // A previous leader has found may_have_longest_lease() to be true, and earlier_orders_open() as
+    // stated.
+    void expect_longest_lease(bool earlier_orders_open);
+    // Sends all orders from now on with this token if the worker has restarted while orders of this
+    // leader were open: once the present incarnation has answered one, it refuses the earlier ones.
+    // The token must be lower than that of any later leader.
+    void raise_token(std::int64_t token);
 
     // Tells the worker, with the next hold, not to report ends up to `number` again. Called in
     // ascending order.
@@ -159,6 +170,13 @@
         worker_registration info;
         net::boot_time read_at{};
     };
+    struct sent_hold {
+        net::boot_time at{};
+        milliseconds timeout{0};
+        std::int64_t token = 0;
+        bool has_lease = false;
+        bool waits = false; // for an end of a task
+    };
     struct presence_check {
         net::boot_time begun_at{};
         int unanswered = 0; // requests since then
@@ -175,16 +193,20 @@
     // The worker has restarted, as its answer tells.
     void on_new_incarnation(std::int64_t started_at_ms, incarnation_source source);
     void send_hold();
-    void on_hold(const hold_report& report, net::boot_time requested_at, milliseconds timeout);
-    void on_failed_hold(const order_result& result, net::boot_time requested_at,
-                        milliseconds timeout);
+    void on_hold(const hold_report& report, const sent_hold& sent);
+    void on_failed_hold(const order_result& result, const sent_hold& sent);
     void schedule_hold(std::chrono::nanoseconds delay);
     void record_result(const order_result& result, incarnation_source source);
     // True if an earlier incarnation of the worker has sent the answer, or may have sent it.
     bool of_former_incarnation(const order_result& result) const;
     bool may_be_of_former_incarnation(const order_result& result, net::boot_time sent_at) const;
     std::function<void(const order_result&)>
-    with_result_recorded(std::function<void(const order_result&)> done);
+    with_result_recorded(bool has_lease, std::function<void(const order_result&)> done);
+    // Notes whether an order that asked for a lease may still be carried out.
+    void close_lease_order(const order_result& result, net::boot_time sent_at);
+    // True if the worker refused an order of ours because it has answered one with a later token of
+    // ours.
+    bool refused_for_later_order(const order_result& result, std::int64_t token) const;
     // Adds the outcome of a call that the worker answers at once.
     void record_round_trip(const order_result& result, net::boot_time sent_at);
     void record_loss(const order_result& result);
@@ -198,6 +220,10 @@
     void raise_longest_lease_bound(net::boot_time last_order);
     // The worker has restarted; an order to its former incarnation may reach the present one.
     void count_leases_across_restart();
+    // The present incarnation has reported, as asked with this token, and refuses lower ones.
+    void settle_earlier_orders(std::int64_t token);
+    // When the last order that a former incarnation may have got is carried out at the latest.
+    std::optional<net::boot_time> last_order_of_previous_leader() const;
     // Extends `lease_bound_` by the next lease and returns that lease's end on the worker's clock.
     std::optional<milliseconds> extend_lease();
     // Calls `done` with order_status::not_sent, after this call has returned.
@@ -226,7 +252,15 @@
     net::boot_time worker_clock_read_at_{};
     net::boot_time lease_bound_;
     net::boot_time longest_lease_bound_{};
-    net::boot_time lease_order_sent_at_{}; // the last order that extends the lease
+    net::boot_time created_at_;
+    open_lease_orders open_lease_orders_;
+    // Set while an order that was meant for a former incarnation may still be carried out by the
+    // present one: when it is at the latest, and the highest token that it may carry.
+    struct earlier_orders {
+        net::boot_time until{};
+        std::int64_t token = 0;
+    };
+    std::optional<earlier_orders> earlier_orders_;
     bool expiry_reported_ = false;
     bool contacted_ = false;
     bool has_more_ends_ = false; // the last report did not list all ends
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -22,6 +22,7 @@
     int paces = 0;
     milliseconds hold_wait{0};    // of the last hold
     milliseconds hold_margin{0};  // by which the last hold's time-out exceeds its wait
+    std::int64_t hold_token = 0;  // of the last hold
     int holds_to_lose = 0;        // that get no answer
     std::int64_t incarnation = 1; // that answers
     bool orders_name_incarnation = true;
@@ -58,6 +59,7 @@
     {
         ++received_.holds;
         received_.hold_wait = order.wait;
+        received_.hold_token = order.fencing_token;
         received_.hold_margin = timeout - order.wait;
         if (received_.holds_to_lose > 0) {
             --received_.holds_to_lose;
@@ -275,5 +277,34 @@
     EXPECT_EQ(listener.last_reporting_incarnation, 2);
 }
 
+// Guards against a lease that a late order to a former incarnation prolongs unseen: it counts until
+// the present incarnation has answered an order with a higher token, as which it refuses that one.
+TEST_F(worker_session_test, open_order_to_a_former_incarnation_counts_until_it_is_refused)
+{
+    timers.run_for(100ms);
+    received.holds_to_lose = 1;
+    timers.run_for(2s);
+    received.incarnation = 2;
+    timers.run_for(2s);
+    ASSERT_EQ(listener.last_reporting_incarnation, 2);
+    EXPECT_TRUE(session->earlier_orders_open());
+    EXPECT_GT(session->lease_bound(), timers.now() + late_execution_limit);
+    session->raise_token(8);
+    timers.run_for(100ms);
+    EXPECT_EQ(received.hold_token, 8);
+    EXPECT_FALSE(session->earlier_orders_open());
+    EXPECT_TRUE(session->may_have_longest_lease());
+    EXPECT_LT(session->lease_bound(), timers.now() + 11s);
+}
+
+// Guards against a token that rises although no order is open, and so for each commit.
+TEST_F(worker_session_test, token_is_raised_only_while_orders_to_a_former_incarnation_are_open)
+{
+    timers.run_for(100ms);
+    session->raise_token(8);
+    timers.run_for(1s);
+    EXPECT_EQ(received.hold_token, 7);
+}
+
 } // namespace
 } // namespace jl::jobs
