Begin occurrences and send orders in bounded parts

Cause: the event loop that renews the lease began up to 10,000 occurrences of each job in one tick, looked each task up by walking through them, walked through them again at each end, and encoded all of them with each change; all starts and stops that were decided on in one pass were sent in it.

Why this works: a tick creates at most 500 tasks of due occurrences, in turns; a job has at most 500 occurrences in progress; occurrences are found by number; an end looks at its own occurrence only. Pools take turns to be the first.

--- a/src/jobs/capacity_manager.cpp
+++ b/src/jobs/capacity_manager.cpp
@@ -214,7 +214,7 @@
         const bool long_running = target->spec.steps.front().long_running;
         const bool late =
             !long_running && remaining_critical_path(*target, now) > target->objective - now;
-        for (const auto& occurrence : target->occurrences) {
+        for (const auto& [number, occurrence] : target->occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& progress = occurrence.steps[step];
                 const auto& spec = target->spec.steps[step];
--- a/src/jobs/crash_ledger_test.cpp
+++ b/src/jobs/crash_ledger_test.cpp
@@ -20,7 +20,7 @@
     {
         auto& job = jobs.insert(testing::make_job("00000000000000a1", 1, 2));
         begin_occurrence(job);
-        suspect = &job.occurrences.front().steps[0].tasks[0];
+        suspect = &job.occurrences.begin()->second.steps[0].tasks[0];
         start_on("w1");
     }
 
--- a/src/jobs/crashing_tasks_test.cpp
+++ b/src/jobs/crashing_tasks_test.cpp
@@ -495,13 +495,13 @@
     job original;
     original.spec = make_job(job_id, 1, 2);
     begin_occurrence(original);
-    auto& suspect = original.occurrences.front().steps[0].tasks[1];
+    auto& suspect = original.occurrences.begin()->second.steps[0].tasks[1];
     suspect.crashes = {{"w1", 17, "vm-1", 1234ms, decisions::crash_link::sole, true},
                        {"w2", 18, "vm-2", 5678ms, decisions::crash_link::shared, false}};
     job restored;
     restored.spec.id = job_id;
     ASSERT_TRUE(decode_job(encode_job(original), restored));
-    const auto& crashes = restored.occurrences.front().steps[0].tasks[1].crashes;
+    const auto& crashes = restored.occurrences.begin()->second.steps[0].tasks[1].crashes;
     ASSERT_EQ(crashes.size(), 2U);
     EXPECT_EQ(crashes[0].vm, "vm-1");
     EXPECT_EQ(crashes[0].worker_started_at_ms, 17);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -158,23 +158,25 @@
     step.done_version = job.version + 1;
     job.any_started = true;
     const auto version = record_change(job);
-    finish_if_complete(job);
+    finish_if_complete(job, ended.occurrence);
     schedule_tick();
     return version;
 }
 
-void engine::finish_if_complete(job& job)
+void engine::finish_if_complete(job& job, int occurrence)
 {
+    const auto ended = job.occurrences.find(occurrence);
+    if (ended == job.occurrences.end() || !ended->second.complete()) {
+        return;
+    }
     if (job.spec.has_schedule()) {
-        job.occurrences.remove_if([](const auto& occurrence) { return occurrence.complete(); });
+        job.occurrences.erase(ended);
         if (job.occurrences.empty() && job.next_occurrence >= job.spec.occurrences) {
             finish(job, job_state::completed);
         }
         return;
     }
-    if (!job.occurrences.empty() && job.occurrences.front().complete()) {
-        finish(job, job_state::completed);
-    }
+    finish(job, job_state::completed);
 }
 
 std::int64_t engine::on_task_failed(task& ended, std::int64_t run)
@@ -318,7 +320,27 @@
 
 void engine::stop_all_tasks(job& job, const char* reason)
 {
-    for_each_task(job, [&](task& target) { runner_->stop(target, reason); });
+    const auto* const left = find_task_if(job, [&](task& target) {
+        if (!runner_->accepts_orders()) {
+            return true;
+        }
+        runner_->stop(target, reason);
+        return false;
+    });
+    if (left != nullptr) {
+        jobs_to_stop_.insert(job.spec.id);
+    }
+}
+
+// Goes on with the jobs of which too many tasks had to be stopped at once.
+void engine::stop_tasks_of_ended_jobs()
+{
+    const auto ids = std::exchange(jobs_to_stop_, {});
+    for (const auto& id : ids) {
+        if (auto* const job = jobs_.find(id)) {
+            stop_all_tasks(*job, "the job has ended");
+        }
+    }
 }
 
 } // namespace jl::jobs
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -129,12 +129,15 @@
     void accept_held_submissions();
     void refuse_overdue_submissions();
     std::int64_t record_change(job& job);
-    void finish_if_complete(job& job);
+    // Called when a task of this occurrence has ended.
+    void finish_if_complete(job& job, int occurrence);
     void finish(job& job, job_state state);
     void fail_if_attempts_exhausted(job& job);
     void give_up_if_crashing(task& suspect);
     void give_up_crashing_tasks(job& job);
+    // Stops the tasks of the job, at once as far as task_runner::accepts_orders() allows.
     void stop_all_tasks(job& job, const char* reason);
+    void stop_tasks_of_ended_jobs();
     void stop_other_gang_members(task& member);
     void add_service(job& job, const std::string& service);
 
@@ -142,6 +145,9 @@
     void tick();
     static bool may_begin_occurrence(const job& job);
     void begin_due_occurrences();
+    // Begins occurrences until `task_budget` tasks have been created. Returns false if others are
+    // due.
+    bool begin_due_occurrences(job& job, std::int64_t& task_budget);
     void requeue_resolved_tasks();
     void retire_finished_jobs();
     void discard_advice(const job& ended);
@@ -162,6 +168,9 @@
 
     job_table jobs_;
     std::optional<fleet_config> config_;
+    std::set<std::string> jobs_to_stop_; // that have ended, by id
+    // The job with which the next tick begins to look for due occurrences. It may be gone.
+    job* first_scheduled_job_ = nullptr;
     std::unique_ptr<record_writer> writer_;
     worker_roster roster_;
     std::set<std::string> workers_with_longest_lease_; // by their entry in the roster
--- a/src/jobs/engine_periodic.cpp
+++ b/src/jobs/engine_periodic.cpp
@@ -24,6 +24,8 @@
 constexpr int tick_interval_factor = 4;
 constexpr auto housekeeping_interval = 100ms;
 constexpr auto team_usage_interval = 5s; // of the metrics
+// Tasks of due occurrences that are created in one tick.
+constexpr std::int64_t max_new_tasks_per_tick = 500;
 // The record of a finished job is kept for this time beyond the required `status_retention`.
 constexpr auto retention_margin = 20s;
 
@@ -50,6 +52,7 @@
     if (!ready() || !may_act_()) {
         return;
     }
+    stop_tasks_of_ended_jobs();
     begin_due_occurrences();
     requeue_resolved_tasks();
     scheduler_->run_pass(*config_);
@@ -60,26 +63,49 @@
 // the job's record. Occurrences beyond the limit start when earlier ones have ended.
 bool engine::may_begin_occurrence(const job& job)
 {
-    return task_count(job.spec) * static_cast<std::int64_t>(job.occurrences.size() + 1) <=
-           max_tasks_per_job;
+    const auto in_progress = static_cast<std::int64_t>(job.occurrences.size());
+    return job.occurrences.empty() ||
+           (in_progress < max_overlapping_occurrences &&
+            task_count(job.spec) * (in_progress + 1) <= max_tasks_per_job);
 }
 
 void engine::begin_due_occurrences()
 {
-    const auto now = to_unix(timers_.wall_now());
-    for (auto* const job : jobs_.active()) {
-        if (!job->spec.has_schedule() || !job->active() || !job->durable()) {
-            continue;
+    auto task_budget = max_new_tasks_per_tick;
+    const auto& active = jobs_.active();
+    auto next = active.lower_bound(first_scheduled_job_);
+    for (std::size_t visited = 0; visited < active.size(); ++visited) {
+        if (next == active.end()) {
+            next = active.begin();
         }
-        while (job->next_occurrence < job->spec.occurrences &&
-               due_time(job->spec, job->next_occurrence) <= now &&
-               (job->occurrences.empty() || may_begin_occurrence(*job))) {
-            auto& occurrence = begin_occurrence(*job);
-            occurrence.begun_version = record_change(*job);
+        auto& visited_job = **next++;
+        if (!begin_due_occurrences(visited_job, task_budget)) {
+            first_scheduled_job_ = next == active.end() ? nullptr : *next;
+            schedule_tick();
+            return;
         }
     }
 }
 
+bool engine::begin_due_occurrences(job& job, std::int64_t& task_budget)
+{
+    if (!job.spec.has_schedule() || !job.active() || !job.durable()) {
+        return true;
+    }
+    const auto now = to_unix(timers_.wall_now());
+    const auto tasks = task_count(job.spec);
+    while (job.next_occurrence < job.spec.occurrences &&
+           due_time(job.spec, job.next_occurrence) <= now && may_begin_occurrence(job)) {
+        if (task_budget <= 0) {
+            return false;
+        }
+        task_budget -= tasks;
+        auto& occurrence = begin_occurrence(job);
+        occurrence.begun_version = record_change(job);
+    }
+    return true;
+}
+
 // Puts unresolved tasks of a former leader back into the queue. Once all workers that might run
 // such a task have reported or their leases have expired, a task that no worker has reported runs
 // nowhere.
@@ -169,13 +195,9 @@
             continue;
         }
         bool busy = false;
-        for_each_task(*job, [&](task& target) {
-            if (target.on_worker()) {
-                busy = true;
-                runner_->stop(target, "the job has ended");
-            }
-        });
+        for_each_task(*job, [&](task& target) { busy = busy || target.on_worker(); });
         if (busy) {
+            stop_all_tasks(*job, "the job has ended");
             continue;
         }
         if (jobs_.active().erase(job.get()) != 0) {
@@ -199,7 +221,7 @@
     if (!advice_book_) {
         return;
     }
-    for (const auto& occurrence : ended.occurrences) {
+    for (const auto& [number, occurrence] : ended.occurrences) {
         for (const auto& step : occurrence.steps) {
             if (!step.tasks.empty()) {
                 advice_book_->forget(step_name(step.tasks.front()));
--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -375,8 +375,8 @@
     job source;
     source.spec = make_job(job_id, 2, 3);
     begin_occurrence(source);
-    source.occurrences.front().steps[0].tasks[1].failed_runs = {1, 2};
-    source.occurrences.front().steps[0].tasks[2].crashes = {
+    source.occurrences.begin()->second.steps[0].tasks[1].failed_runs = {1, 2};
+    source.occurrences.begin()->second.steps[0].tasks[2].crashes = {
         {"w1", 17, "vm-1", 1234ms, decisions::crash_link::sole, true}};
     const auto record = encode_job(source);
     std::mt19937 random(3); // NOLINT: the same bytes in each run
@@ -806,6 +806,88 @@
     expect_no_violation(fleet);
 }
 
+// Returns how many occurrences the job's record holds as in progress.
+std::size_t recorded_occurrences(test_fleet& fleet, const std::string& id)
+{
+    const auto record = fleet.store.find(std::string(job_prefix) + id);
+    job recorded;
+    recorded.spec.id = id;
+    if (record == nullptr || !decode_job(record->value, recorded)) {
+        ADD_FAILURE() << "no readable record of " << id;
+        return 0;
+    }
+    return recorded.occurrences.size();
+}
+
+// Guards against a leader that begins each due occurrence of a job with a million repetitions in
+// one tick and encodes all of them with each change. It lost its lease, as did the next ones.
+TEST(engine, job_with_a_million_due_occurrences_has_few_in_progress)
+{
+    test_fleet fleet;
+    fleet.workers.default_plan.duration = 5s;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto scheduled = make_job(job_id, 1, 1);
+    scheduled.occurrences = 1000000;
+    scheduled.first_run = 0ms;
+    scheduled.interval = 1ms;
+    scheduled.steps[0].request = {1, 1, 0};
+    ASSERT_EQ(fleet.submit(scheduled), submit_outcome::accepted);
+    fleet.timers.run_for(4s);
+    EXPECT_GT(recorded_occurrences(fleet, job_id), 100U);
+    EXPECT_LE(recorded_occurrences(fleet, job_id), 500U);
+    expect_no_violation(fleet);
+}
+
+// Guards against a job whose many occurrences keep others from being begun or started.
+TEST(engine, small_jobs_complete_beside_jobs_with_many_due_occurrences)
+{
+    test_fleet fleet;
+    fleet.workers.default_plan.duration = 300ms;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    for (const auto* const id : {"00000000000000b1", "00000000000000b2", "00000000000000b3"}) {
+        auto scheduled = make_job(id, 1, 1);
+        scheduled.occurrences = 1000000;
+        scheduled.first_run = 0ms;
+        scheduled.interval = 1ms;
+        scheduled.steps[0].request = {1, 1, 0};
+        ASSERT_EQ(fleet.submit(scheduled), submit_outcome::accepted);
+    }
+    fleet.timers.run_for(500ms);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 2)), submit_outcome::accepted);
+    EXPECT_TRUE(fleet.await_state(job_id, job_state::completed, 2s));
+    for (const auto* const task :
+         {"00000000000000b1.0.0.0", "00000000000000b2.0.0.0", "00000000000000b3.0.0.0"}) {
+        EXPECT_EQ(fleet.workers.start_count(task), 1) << task;
+    }
+    expect_no_violation(fleet);
+}
+
+// Guards against tasks of a cancelled job that run on, because more had to be stopped than is sent
+// at once.
+TEST(engine, all_tasks_of_a_large_cancelled_job_are_stopped)
+{
+    constexpr int tasks = 3000;
+    test_fleet fleet;
+    fleet.workers.default_plan.duration = 60s;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto large = make_job(job_id, 1, tasks);
+    large.steps[0].request = {1, 1, 0};
+    ASSERT_EQ(fleet.submit(large), submit_outcome::accepted);
+    const auto running = [&fleet] {
+        return fleet.workers.running("w0") + fleet.workers.running("w1") +
+               fleet.workers.running("w2") + fleet.workers.running("w3");
+    };
+    fleet.timers.run_for(1s);
+    ASSERT_EQ(running(), tasks);
+    ASSERT_EQ(fleet.cancel(job_id), cancel_outcome::cancelled);
+    fleet.timers.run_for(1s);
+    EXPECT_EQ(running(), 0);
+    expect_no_violation(fleet);
+}
+
 // With a store that takes 50 times as long to answer, only 300 records per second were written.
 // Under peak load, submissions and task ends then delayed each other by seconds.
 TEST(engine, submission_burst_is_recorded_while_the_store_is_slow)
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -182,7 +182,7 @@
     if (source.active()) {
         document["spec"] = encode_spec(source.spec);
         json occurrences = json::array();
-        for (const auto& occurrence : source.occurrences) {
+        for (const auto& [number, occurrence] : source.occurrences) {
             occurrences.push_back(encode_occurrence(occurrence));
         }
         document["o"] = std::move(occurrences);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -90,7 +90,7 @@
 task_resources waiting_demand(const job& target, net::boot_time now)
 {
     task_resources total;
-    for (const auto& occurrence : target.occurrences) {
+    for (const auto& [number, occurrence] : target.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& progress = occurrence.steps[step];
             if (progress.complete() || !target.step_ready(occurrence, step)) {
@@ -191,7 +191,7 @@
 double remaining_core_seconds(const job& target)
 {
     double total = 0;
-    for (const auto& occurrence : target.occurrences) {
+    for (const auto& [number, occurrence] : target.occurrences) {
         for (const auto& step : occurrence.steps) {
             if (step.tasks.empty()) {
                 continue;
@@ -209,7 +209,7 @@
 {
     milliseconds longest{0};
     const auto paths = critical_paths(target.spec);
-    for (const auto& occurrence : target.occurrences) {
+    for (const auto& [number, occurrence] : target.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& progress = occurrence.steps[step];
             if (progress.complete()) {
@@ -262,8 +262,18 @@
     if (config.checks_keys) {
         usage_ = team_usage(config, runner_, jobs_);
     }
-    for (const auto& [service, jobs] : by_service) {
+    // Each pool has its turn to be the first, as a pass may end early.
+    auto next = by_service.lower_bound(first_service_);
+    for (std::size_t visited = 0; visited < by_service.size(); ++visited) {
+        if (next == by_service.end()) {
+            next = by_service.begin();
+        }
+        const auto& [service, jobs] = *next++;
         schedule_pool(config, jobs, pools.at(service));
+        if (!runner_.accepts_orders()) {
+            first_service_ = next == by_service.end() ? "" : next->first;
+            return;
+        }
     }
 }
 
@@ -381,11 +391,14 @@
 
 void job_scheduler::start_job(job& target, const queue_config& queue, pool_candidates& pool)
 {
-    for (auto& occurrence : target.occurrences) {
+    for (auto& [number, occurrence] : target.occurrences) {
         if (occurrence.begun_version > target.durable_version) {
             continue;
         }
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!runner_.accepts_orders()) {
+                return; // the pass goes on once they have been sent
+            }
             if (!occurrence.steps[step].complete() && target.step_ready(occurrence, step)) {
                 start_step(target, occurrence, step, queue, pool);
             }
@@ -427,7 +440,7 @@
         return;
     }
     for (auto* const task : waiting) {
-        if (!quota_allows(target, spec, 1) ||
+        if (!runner_.accepts_orders() || !quota_allows(target, spec, 1) ||
             start_one(*task, queue, pool) == start_outcome::no_worker) {
             return; // the tasks of a step are alike: no other one fits either
         }
@@ -455,7 +468,7 @@
 
 void job_scheduler::start_suspects(job& target, const queue_config& queue, pool_candidates& pool)
 {
-    for (auto& occurrence : target.occurrences) {
+    for (auto& [number, occurrence] : target.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             auto& progress = occurrence.steps[step];
             if (progress.complete() || !target.step_ready(occurrence, step)) {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -33,7 +33,7 @@
                   const vm_reservations& reservations, advice_book* advice, job_metrics& metrics,
                   double remote_slowdown_factor);
 
-    // Starts all tasks that can start now.
+    // Starts the tasks that can start now, as many as task_runner::accepts_orders() allows.
     void run_pass(const fleet_config& config);
     // Time that the pool needs for the work that waited in the last pass; 0 if none did.
     std::chrono::nanoseconds backlog(const std::string& service) const;
@@ -109,6 +109,7 @@
     // What each team uses; without a value, the configuration names no teams. Valid during a pass.
     std::optional<teams::usage_account> usage_;
     std::map<std::string, std::chrono::nanoseconds> backlogs_; // by service
+    std::string first_service_;                                // at which the next pass begins
 };
 
 // Returns JOB.OCCURRENCE.STEP, which identifies the task's step towards the advisor.
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -39,9 +39,9 @@
 
 occurrence_progress& begin_occurrence(job& target)
 {
-    auto& occurrence =
-        target.occurrences.emplace_back(); // created in place, because tasks point into it
-    occurrence.number = target.next_occurrence++;
+    const int number = target.next_occurrence++;
+    auto& occurrence = target.occurrences[number]; // stays in place, because tasks point into it
+    occurrence.number = number;
     occurrence.steps.resize(target.spec.steps.size());
     for (std::size_t step = 0; step < target.spec.steps.size(); ++step) {
         auto& progress = occurrence.steps[step];
@@ -94,19 +94,18 @@
     if (owner == nullptr) {
         return nullptr;
     }
-    for (auto& occurrence : owner->occurrences) {
-        if (occurrence.number != name.occurrence) {
-            continue;
-        }
-        if (static_cast<std::size_t>(name.step) >= occurrence.steps.size()) {
-            return nullptr;
-        }
-        auto& tasks = occurrence.steps[static_cast<std::size_t>(name.step)].tasks;
-        return static_cast<std::size_t>(name.index) < tasks.size()
-                   ? &tasks[static_cast<std::size_t>(name.index)]
-                   : nullptr;
+    const auto occurrence = owner->occurrences.find(name.occurrence);
+    if (occurrence == owner->occurrences.end()) {
+        return nullptr;
+    }
+    auto& steps = occurrence->second.steps;
+    if (static_cast<std::size_t>(name.step) >= steps.size()) {
+        return nullptr;
     }
-    return nullptr;
+    auto& tasks = steps[static_cast<std::size_t>(name.step)].tasks;
+    return static_cast<std::size_t>(name.index) < tasks.size()
+               ? &tasks[static_cast<std::size_t>(name.index)]
+               : nullptr;
 }
 
 } // namespace jl::jobs
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -119,8 +118,8 @@
     std::vector<std::string> services; // pools on which its tasks may have run
     std::int64_t services_version = 0; // first version of the record that names them all
     job_state state = job_state::queued;
-    std::list<occurrence_progress> occurrences; // in progress, by ascending number
-    int next_occurrence = 0;                    // number of the next occurrence to begin
+    std::map<int, occurrence_progress> occurrences; // in progress, by number
+    int next_occurrence = 0;                        // number of the next occurrence to begin
 
     std::int64_t version = 1;         // increases with each change of the record
     std::int64_t durable_version = 0; // last version known to be in the store
@@ -145,9 +144,9 @@
 // none does.
 template <typename Job, typename Predicate>
 auto find_task_if(Job& target, Predicate predicate)
-    -> decltype(&target.occurrences.front().steps.front().tasks.front())
+    -> decltype(&target.occurrences.begin()->second.steps.front().tasks.front())
 {
-    for (auto& occurrence : target.occurrences) {
+    for (auto& [number, occurrence] : target.occurrences) {
         for (auto& step : occurrence.steps) {
             for (auto& task : step.tasks) {
                 if (predicate(task)) {
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -41,6 +41,11 @@
 // not fit into the memory of the smallest node.
 constexpr std::int64_t max_tasks_per_job = 10000;
 
+// Limit on the occurrences of a job that are in progress at the same time, also if they have few
+// tasks: each change of the job encodes the progress of all of them again. Later ones that are due
+// begin when earlier ones have ended.
+constexpr std::int64_t max_overlapping_occurrences = 500;
+
 // A job as submitted. Immutable.
 struct job_spec {
     std::string id;
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -45,7 +45,8 @@
       metrics_(metrics),
       settings_(std::move(settings)),
       created_at_(timers.now()),
-      crashes_(timers, jobs, [this](task& suspect) { listener_.on_crash_evidence(suspect); })
+      crashes_(timers, jobs, [this](task& suspect) { listener_.on_crash_evidence(suspect); }),
+      orders_(timers, [this] { listener_.on_workers_changed(); })
 {
 }
 
@@ -378,6 +379,11 @@
 }
 
 void task_runner::send_start(const task_name& name, std::int64_t run, const std::string& worker)
+{
+    orders_.send([this, name, run, worker] { transmit_start(name, run, worker); });
+}
+
+void task_runner::transmit_start(const task_name& name, std::int64_t run, const std::string& worker)
 {
     task* const target = find_current_run(name, run, worker);
     auto* const handle = find_worker(worker);
@@ -543,6 +549,11 @@
 }
 
 void task_runner::send_stop(const task_name& name, std::int64_t run, const std::string& worker)
+{
+    orders_.send([this, name, run, worker] { transmit_stop(name, run, worker); });
+}
+
+void task_runner::transmit_stop(const task_name& name, std::int64_t run, const std::string& worker)
 {
     task* const target = find_current_run(name, run, worker);
     auto* const handle = find_worker(worker);
@@ -596,13 +607,23 @@
         stray = {run, order_unconfirmed};
         metrics_.record_stray_run();
     }
+    orders_.send(
+        [this, name, run, worker = handle.info().id] { transmit_stray_stop(name, run, worker); });
+}
+
+void task_runner::transmit_stray_stop(const task_name& name, std::int64_t run,
+                                      const std::string& worker)
+{
+    auto* const handle = find_worker(worker);
+    if (handle == nullptr || handle->strays.count(name.to_string()) == 0) {
+        return;
+    }
     stop_order order;
     order.task = name;
     order.run = run;
-    handle.session->stop(order,
-                         [this, name, run, worker = handle.info().id](const order_result& result) {
-                             on_stray_stopped(name, run, worker, result);
-                         });
+    handle->session->stop(order, [this, name, run, worker](const order_result& result) {
+        on_stray_stopped(name, run, worker, result);
+    });
 }
 
 void task_runner::on_stray_stopped(const task_name& name, std::int64_t run,
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -15,6 +15,7 @@
 #include "jobs/job_metrics.h"
 #include "jobs/job_table.h"
 #include "jobs/open_starts.h"
+#include "jobs/order_pacer.h"
 #include "jobs/worker_session.h"
 
 namespace jl::jobs {
@@ -139,6 +140,9 @@
     // Sends the starts that have waited for the job's record.
     void send_recorded_starts(job& recorded);
     void stop(task& target, const char* reason);
+    // False while so many starts and stops wait to be sent that no further ones should be decided
+    // on. task_listener::on_workers_changed() is called once all of them have been sent.
+    bool accepts_orders() const { return orders_.accepts_more(); }
     void set_pace(task& target, int percent);
     // Removes the task from its worker without an order, because it has already ended.
     void detach(task& target);
@@ -197,6 +201,7 @@
     void end_if_absent(worker_handle& handle, loss_cause cause);
     void isolate(task& target, const worker_handle& handle);
     void send_start(const task_name& name, std::int64_t run, const std::string& worker);
+    void transmit_start(const task_name& name, std::int64_t run, const std::string& worker);
     void on_started(const task_name& name, std::int64_t run, const std::string& worker,
                     const order_result& result);
     void log_accepted_start(const worker_handle& handle, const task& started,
@@ -205,7 +210,9 @@
     void confirm_running(task& target);
     void retry_start(task& target);
     void send_stop(const task_name& name, std::int64_t run, const std::string& worker);
+    void transmit_stop(const task_name& name, std::int64_t run, const std::string& worker);
     void stop_stray(worker_handle& handle, const task_name& name, std::int64_t run);
+    void transmit_stray_stop(const task_name& name, std::int64_t run, const std::string& worker);
     // Stops the task on the new incarnation of its worker, which a start may still reach.
     void stop_on_new_incarnation(task& target);
     // Stops what open starts may still begin on a new incarnation of the worker, except the current
@@ -274,6 +281,7 @@
     // By worker id. Outlives the worker's handle, because an open start may reach a later
     // incarnation with the same id.
     std::map<std::string, open_starts> open_starts_;
+    order_pacer orders_;
     std::set<std::string> workers_with_unacknowledged_ends_;
     std::set<std::string> services_with_unseen_losses_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
--- a/src/jobs/team_usage.cpp
+++ b/src/jobs/team_usage.cpp
@@ -13,7 +13,7 @@
 // complete cannot have been.
 void add_unresolved_tasks(teams::usage_account& usage, const job& unresolved)
 {
-    for (const auto& occurrence : unresolved.occurrences) {
+    for (const auto& [number, occurrence] : unresolved.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!unresolved.step_ready(occurrence, step)) {
                 continue;
