Write records in bounded parts, in the order of their changes

Found beside it by reading: one pass of the record writer encoded up to 60 records of any size, the next pass followed as soon as a commit was answered, and keys were taken in alphabetical order.

Why this works: a pass ends after 128 KB, the next one comes later by 12 ms for each 64 KB, and the key that was marked first is written first.

Evidence: paced_record_writer.large_records_are_written_in_parts_and_delay_no_other fails on (2,000,000 bytes in a pass, 334 MB in 2 s) and passes now. That alphabetical order keeps a record from being written was not shown: the last key of the test was written in time on too.

--- a/src/jobs/record_writer.cpp
+++ b/src/jobs/record_writer.cpp
@@ -22,6 +22,11 @@
 // Combines task ends and submissions that arrive close together into one call, because each call to
 // the store has a cost.
 constexpr auto batch_interval = 12ms;
+// Encoding and sending so many bytes takes a quarter of a core some 20 ms. A larger record is a
+// pass of its own.
+constexpr std::size_t max_bytes_per_pass = 128U << 10U;
+// A pass with so many bytes delays the next one by one more batch_interval.
+constexpr std::size_t bytes_per_interval = 64U << 10U;
 constexpr auto retry_delay = 80ms;
 constexpr auto max_retry_delay = 500ms;
 
@@ -49,12 +54,25 @@
 
 void record_writer::mark_dirty(const std::string& key)
 {
-    dirty_keys_.insert(key);
-    const auto earliest = last_flush_ + batch_interval;
+    add_dirty(key);
+    const auto earliest = std::max(last_flush_ + batch_interval, next_flush_);
     const auto now = timers_.now();
     schedule(earliest > now ? earliest - now : std::chrono::nanoseconds(0));
 }
 
+void record_writer::add_dirty(const std::string& key)
+{
+    if (dirty_keys_.insert(key).second) {
+        dirty_order_.push_back(key);
+    }
+}
+
+void record_writer::schedule_next_pass()
+{
+    const auto now = timers_.now();
+    schedule(next_flush_ > now ? next_flush_ - now : std::chrono::nanoseconds(0));
+}
+
 std::optional<net::boot_clock::duration> record_writer::unanswered_for() const
 {
     return unanswered_since_ ? std::make_optional(timers_.now() - *unanswered_since_)
@@ -74,32 +92,44 @@
 
 void record_writer::flush()
 {
+    if (timers_.now() < next_flush_) {
+        schedule_next_pass();
+        return;
+    }
     last_flush_ = timers_.now();
     const int limit = last_commit_latency_ >= slow_commit_latency
                           ? max_transactions_in_flight_when_slow
                           : max_transactions_in_flight;
-    while (transactions_in_flight_ < limit) {
+    std::size_t bytes = 0;
+    while (transactions_in_flight_ < limit && bytes < max_bytes_per_pass) {
         const auto before = transactions_in_flight_;
-        send_batch();
+        bytes += send_batch(max_bytes_per_pass - bytes);
         if (transactions_in_flight_ == before) {
-            return;
+            break;
         }
     }
+    next_flush_ =
+        last_flush_ + batch_interval * static_cast<std::int64_t>(bytes / bytes_per_interval);
+    if (bytes >= max_bytes_per_pass && !dirty_keys_.empty()) {
+        schedule_next_pass();
+    }
 }
 
-void record_writer::send_batch()
+std::size_t record_writer::send_batch(std::size_t max_bytes)
 {
     store_transaction transaction;
     transaction.conditions.push_back(leader_condition_);
     std::vector<written_record> batch;
-    for (auto next = dirty_keys_.begin();
-         next != dirty_keys_.end() && batch.size() < max_records_per_transaction;) {
-        if (keys_in_flight_.count(*next) != 0) {
-            ++next;
+    std::size_t bytes = 0;
+    for (auto left = dirty_order_.size();
+         left > 0 && batch.size() < max_records_per_transaction && bytes < max_bytes; --left) {
+        const auto key = std::move(dirty_order_.front());
+        dirty_order_.pop_front();
+        if (keys_in_flight_.count(key) != 0) {
+            dirty_order_.push_back(key);
             continue;
         }
-        const auto key = *next;
-        next = dirty_keys_.erase(next);
+        dirty_keys_.erase(key);
         auto content = callbacks_.encode(key);
         if (!content) {
             continue;
@@ -112,11 +142,12 @@
         else {
             transaction.writes.push_back({key, content->value, 0});
         }
+        bytes += content->value.size();
         batch.push_back({key, std::move(content->value), content->version, content->removed});
         keys_in_flight_.insert(key);
     }
     if (batch.empty()) {
-        return;
+        return 0;
     }
     ++transactions_in_flight_;
     store_.commit(transaction, [this, batch = std::move(batch), sent = timers_.now(),
@@ -126,6 +157,7 @@
             on_commit_result(batch, result);
         }
     });
+    return bytes;
 }
 
 void record_writer::on_commit_result(const std::vector<written_record>& batch,
@@ -150,7 +182,7 @@
             unanswered_since_ = timers_.now();
         }
         for (const auto& record : batch) {
-            dirty_keys_.insert(record.key);
+            add_dirty(record.key);
             if (may_be_executed) {
                 unconfirmed_[record.key] = record;
             }
@@ -171,7 +203,7 @@
     if (!result.value->committed) {
         on_conditions_unmet(batch, result.value->current);
         if (*alive) {
-            schedule(0ms);
+            schedule_next_pass();
         }
         return;
     }
@@ -191,7 +223,7 @@
     }
     callbacks_.batch_done();
     if (*alive && !dirty_keys_.empty()) {
-        schedule(0ms);
+        schedule_next_pass();
     }
 }
 
@@ -225,7 +257,7 @@
     const auto& key = refused.key;
     if (current == nullptr || current->revision == 0) {
         revisions_.erase(key);
-        dirty_keys_.insert(key);
+        add_dirty(key);
         return true;
     }
     const bool written_since =
@@ -233,13 +265,13 @@
     const auto found = unconfirmed_.find(key);
     if (!written_since || found == unconfirmed_.end() || found->second.removed ||
         found->second.value != current->value) {
-        dirty_keys_.insert(key);
+        add_dirty(key);
         return true;
     }
     const auto version = found->second.version;
     unconfirmed_.erase(found);
     if (version != refused.version) {
-        dirty_keys_.insert(key);
+        add_dirty(key);
     }
     const auto alive = alive_;
     callbacks_.durable(key, version);
--- a/src/jobs/record_writer.h
+++ b/src/jobs/record_writer.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +19,8 @@
 // Writes the leader's records to the store, many per transaction. Each write is conditional on the
 // leader key and the record being unchanged. A write without an answer may be executed seconds
 // later; the conditions ensure that it never replaces a newer record or a record of a newer leader.
+// Records are written in the order in which they were marked. One pass encodes a limited number of
+// bytes, and the next pass comes later the more there were.
 //
 //   record_writer writer(timers, store, leader_condition, {...});
 //   writer.mark_dirty("jl/job/1"); // soon writes the value that `encode` returns for the key
@@ -69,9 +73,13 @@
         bool removed = false;
     };
 
+    void add_dirty(const std::string& key);
     void schedule(std::chrono::nanoseconds delay);
+    // Schedules the next pass as soon as the bytes of the last one allow.
+    void schedule_next_pass();
     void flush();
-    void send_batch();
+    // Sends one transaction, with records until they have `max_bytes`. Returns their size.
+    std::size_t send_batch(std::size_t max_bytes);
     void on_commit_result(const std::vector<written_record>& batch,
                           const store_result<commit_outcome>& result);
     // A condition of a transaction failed; `current` are the items that its conditions name.
@@ -86,6 +94,7 @@
     store_condition leader_condition_;
     callbacks callbacks_;
     std::set<std::string> dirty_keys_;
+    std::deque<std::string> dirty_order_; // of the dirty keys, the first to be written in front
     std::set<std::string> keys_in_flight_;
     std::map<std::string, std::int64_t> revisions_; // by key; absent: the key does not exist
     // The last write of a record that got no answer, by key.
@@ -96,6 +105,7 @@
     int consecutive_failures_ = 0;
     std::optional<net::boot_time> unanswered_since_;
     net::boot_time last_flush_{};
+    net::boot_time next_flush_{}; // the earliest time of the next pass
     net::timer_service::timer_id timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/jobs/record_writer_test.cpp
+++ b/src/jobs/record_writer_test.cpp
@@ -20,6 +20,38 @@
 constexpr const char* record_key = "record";
 constexpr std::int64_t leader_revision = 7;
 
+// Answers each commit after a while and notes how many bytes it was sent at which time.
+class counting_store final : public store_port {
+public:
+    explicit counting_store(virtual_timers& timers) : timers_(timers) {}
+
+    void commit(const store_transaction& transaction, callback<commit_outcome> done) override
+    {
+        for (const auto& write : transaction.writes) {
+            bytes_sent[timers_.now()] += write.value.size();
+        }
+        timers_.call_after(2ms, [this, done = std::move(done)] {
+            store_result<commit_outcome> result;
+            result.value.emplace();
+            result.value->committed = true;
+            result.value->revision = ++revision_;
+            done(result);
+        });
+    }
+    void get(const std::string&, callback<store_item>) override {}
+    void list(const std::string&, callback<store_listing>) override {}
+    void watch(const std::string&, std::int64_t, milliseconds, callback<store_listing>) override {}
+    void grant_lease(milliseconds, callback<store_lease>) override {}
+    void renew_lease(std::int64_t, callback<milliseconds>) override {}
+    void end_lease(std::int64_t, std::function<void()>) override {}
+
+    std::map<net::boot_time, std::size_t> bytes_sent;
+
+private:
+    virtual_timers& timers_;
+    std::int64_t revision_ = 0;
+};
+
 // A store with one record. The test decides which commits are answered.
 class lossy_store final : public store_port {
 public:
@@ -175,5 +207,50 @@
     EXPECT_EQ(store.item.value, "content 1");
 }
 
+// Load pattern: jobs with large records change all the time. Guards against an event loop that does
+// nothing but encode them, and against other records that never get their turn.
+TEST(paced_record_writer, large_records_are_written_in_parts_and_delay_no_other)
+{
+    constexpr int large_records = 40;
+    constexpr std::size_t large_size = 50000;
+    virtual_timers timers;
+    counting_store store(timers);
+    std::optional<record_writer> writer;
+    net::boot_time small_record_stored{};
+    record_writer::callbacks callbacks;
+    callbacks.encode = [](const std::string& key) {
+        return record_writer::record{std::string(key == "z" ? 100 : large_size, 'x'), 1, false};
+    };
+    callbacks.durable = [&](const std::string& key, std::int64_t) {
+        if (key == "z") {
+            small_record_stored = timers.now();
+        }
+        else {
+            writer->mark_dirty(key); // it has changed again
+        }
+    };
+    callbacks.batch_done = [] {};
+    callbacks.write_failed = [](store_error) {};
+    callbacks.fenced = [] {};
+    writer.emplace(timers, store, store_condition{leader_key, leader_revision},
+                   std::move(callbacks));
+    for (int record = 0; record < large_records; ++record) {
+        writer->mark_dirty("a" + std::to_string(record));
+    }
+    const auto start = timers.now();
+    timers.run_for(1s);
+    writer->mark_dirty("z");
+    timers.run_for(1s);
+    std::size_t total = 0;
+    for (const auto& [at, bytes] : store.bytes_sent) {
+        EXPECT_LE(bytes, (128U << 10U) + large_size);
+        total += bytes;
+    }
+    EXPECT_LE(total, 2 * 8U << 20U);
+    EXPECT_GT(total, 4U << 20U);
+    ASSERT_NE(small_record_stored, net::boot_time{});
+    EXPECT_LT(small_record_stored - start, 1600ms);
+}
+
 } // namespace
 } // namespace jl::jobs
