Load records in bounded parts

Jobs come before the roster, whose workers are asked for their tasks at once.

record_loader.other_work_runs_between_the_parts guards the mechanism; there is no test that fails without it in the engine, as virtual time does not see the work.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -19,6 +19,7 @@
 #include "jobs/job_table.h"
 #include "jobs/leadership.h"
 #include "jobs/ports.h"
+#include "jobs/record_loader.h"
 #include "jobs/record_writer.h"
 #include "jobs/task_runner.h"
 #include "jobs/vm_reservations.h"
@@ -100,8 +101,11 @@
     void fenced(const std::string& worker) override;
 
     void load_records();
-    void on_records_loaded(const store_listing& listing);
-    void load_job(const store_item& item);
+    void on_records_listed(store_listing listing);
+    // Loads a record and returns the number of tasks that it holds.
+    std::size_t load_record(const store_item& item);
+    void on_records_loaded(std::int64_t revision);
+    std::size_t load_job(const store_item& item);
     void load_roster(const store_item& item);
     void on_operator_item(const store_item& item);
     void adopt_config(fleet_config config);
@@ -186,6 +190,7 @@
     std::unique_ptr<watched_prefix> worker_registrations_;
     bool registrations_listed_ = false; // the first listing has been applied
     std::unique_ptr<watched_prefix> operator_items_;
+    std::optional<record_loader> record_loader_;
     bool records_loaded_ = false;
     // True while a task started by a former leader may run on a worker that has not reported it.
     bool has_unresolved_tasks_ = false;
--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -46,33 +46,49 @@
                                });
                                return;
                            }
-                           on_records_loaded(*result.value);
+                           on_records_listed(*result.value);
                        });
 }
 
-void engine::on_records_loaded(const store_listing& listing)
+// The jobs come first: a worker of the roster is asked for its tasks at once, and what it reports
+// of a job that is not known would be stopped.
+void engine::on_records_listed(store_listing listing)
 {
-    for (const auto& item : listing.items) {
-        if (starts_with(item.key, job_prefix)) {
-            load_job(item);
-        }
-        else if (worker_roster::owns(item.key)) {
-            load_roster(item);
-        }
-        else if (vm_orders_ && item.key == vm_order_log::key) {
-            writer_->set_revision(item.key, item.revision);
-            vm_orders_->load(item);
-        }
-        else if (wave_manager_ && starts_with(item.key, wave_record::prefix)) {
-            wave_manager_->load(item);
-        }
+    std::stable_partition(listing.items.begin(), listing.items.end(),
+                          [](const store_item& item) { return starts_with(item.key, job_prefix); });
+    record_loader_.emplace(
+        timers_, std::move(listing.items),
+        [this](const store_item& item) { return load_record(item); },
+        [this, revision = listing.at] { on_records_loaded(revision); });
+}
+
+std::size_t engine::load_record(const store_item& item)
+{
+    if (starts_with(item.key, job_prefix)) {
+        return load_job(item);
+    }
+    if (worker_roster::owns(item.key)) {
+        load_roster(item);
     }
+    else if (vm_orders_ && item.key == vm_order_log::key) {
+        writer_->set_revision(item.key, item.revision);
+        vm_orders_->load(item);
+    }
+    else if (wave_manager_ && starts_with(item.key, wave_record::prefix)) {
+        wave_manager_->load(item);
+    }
+    return 0;
+}
+
+void engine::on_records_loaded(std::int64_t revision)
+{
+    record_loader_.reset();
     records_loaded_ = true;
     log_event(log_level::info, "engine.loaded",
               {{"jobs", std::to_string(jobs_.all().size())},
                {"active", std::to_string(jobs_.active().size())},
                {"roster", std::to_string(roster_.size())},
-               {"revision", std::to_string(listing.at)}});
+               {"revision", std::to_string(revision)}});
     worker_registry_ = std::make_unique<worker_registry>(
         *ports_.documents,
         worker_registry::callbacks{
@@ -97,7 +113,7 @@
     run_housekeeping();
 }
 
-void engine::load_job(const store_item& item)
+std::size_t engine::load_job(const store_item& item)
 {
     job_spec spec;
     spec.id = item.key.substr(std::string(job_prefix).size());
@@ -105,7 +121,7 @@
     if (!decode_job(item.value, job)) {
         log_event(log_level::error, "job.record_unreadable", {{"job", job.spec.id}});
         jobs_.erase(item.key.substr(std::string(job_prefix).size()));
-        return;
+        return 0;
     }
     writer_->set_revision(item.key, item.revision);
     job.durable_version = job.version;
@@ -114,11 +130,12 @@
     if (!job.active()) {
         job.finished_at = timers_.now();
         jobs_.active().erase(&job);
-        return;
+        return 0;
     }
     has_unresolved_tasks_ = true;
     runner_->crashes().load(job);
     give_up_crashing_tasks(job);
+    return static_cast<std::size_t>(task_count(job.spec)) * job.occurrences.size();
 }
 
 void engine::load_roster(const store_item& item)
