Ask workers with many tasks for reports less often

With hundreds of tasks on each worker the leader did little else.

The interval now grows by 25 ms for each 100 tasks that the last report listed, up to 500 ms, well below the lease.

--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -25,6 +25,10 @@
 constexpr auto retry_delay = 250ms;
 // Delay of the hold after a reported end, so that one report collects ends in quick succession.
 constexpr auto hold_interval = 25ms;
+// The interval grows with the tasks that the last report listed, since each report lists all of
+// them, up to a limit well below the lease.
+constexpr std::size_t tasks_per_hold_interval = 100;
+constexpr auto max_hold_interval = 500ms;
 // Two readings of a worker's clock may differ by this much from the time between their arrivals, as
 // answers take their time. A larger difference is the clock of another incarnation.
 constexpr auto max_clock_delay = 1500ms;
@@ -48,6 +52,12 @@
                                                   slowest_clock_rate));
 }
 
+milliseconds interval_after(const hold_report& report)
+{
+    const auto rows = static_cast<std::int64_t>(report.running.size() / tasks_per_hold_interval);
+    return std::min<milliseconds>(max_hold_interval, hold_interval * (1 + rows));
+}
+
 // True if the answer does not name its incarnation, and the worker has restarted since the order
 // was sent.
 bool may_precede_restart(const order_result& result, std::int64_t incarnation_when_sent,
@@ -101,6 +111,7 @@
       token_(token),
       settings_(std::move(settings)),
       answer_timer_(answer_wait),
+      hold_interval_(hold_interval),
       hold_poll_(hold_wait),
       born_(info_.started_at_ms),
       answered_at_address_(settings_.previous_leader_lease > 0ms),
@@ -436,19 +447,20 @@
     contacted_ = true;
     answered_at_address_ = true;
     has_more_ends_ = report.has_more_ends;
+    hold_interval_ = interval_after(report);
     listener_.on_report(*this, report, sent.at);
     if (!*alive || dead_) {
         return;
     }
     const bool has_unacknowledged_ends = last_reported_end_ > acknowledged_;
     if (report_requested_) {
-        schedule_hold(hold_interval);
+        schedule_hold(hold_interval_);
     }
     else if (has_unacknowledged_ends) {
         schedule_hold(max_hold_wait); // acknowledge() schedules it earlier
     }
     else if (listener_.in_use(*this)) {
-        schedule_hold(report.ended.empty() ? 0ms : hold_interval);
+        schedule_hold(report.ended.empty() ? 0ms : hold_interval_);
     }
 }
 
@@ -480,7 +492,7 @@
 {
     acknowledged_ = std::max(acknowledged_, number);
     if (!hold_in_flight_ && !dead_ && (last_reported_end_ <= acknowledged_ || has_more_ends_)) {
-        const auto earliest = last_hold_sent_at_ + hold_interval;
+        const auto earliest = last_hold_sent_at_ + hold_interval_;
         const auto now = timers_.now();
         schedule_hold(earliest > now ? earliest - now : std::chrono::nanoseconds(0));
     }
@@ -708,7 +720,7 @@
     order.fencing_token = token_;
     port_->start(order, answer_timer_.timeout(), with_result_recorded(true, std::move(done)));
     if (!hold_in_flight_ && hold_timer_ == 0) {
-        schedule_hold(hold_interval);
+        schedule_hold(hold_interval_);
     }
 }
 
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -239,6 +239,7 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
     decisions::retransmission_timer answer_timer_;
+    milliseconds hold_interval_; // between a report with ends and the next hold
     decisions::long_poll hold_poll_;
     // Start time of the present incarnation: from the registration or the roster until an answer
     // has named it.
