Judge lost workers and gangs in one pass over their tasks

Now the newest starts of two jobs are found once, an observation is settled for its own task, the report is indexed, and a gang is told to stop once until a member starts again. The decisions stay the same: the tests of crash evidence, gangs and strays pass unchanged. No test fails before, as virtual time does not see the work.

--- a/src/jobs/crash_ledger.cpp
+++ b/src/jobs/crash_ledger.cpp
@@ -40,18 +40,38 @@
            observation.worker_started_at_ms == worker.life.started_at_ms;
 }
 
-std::vector<decisions::task_on_lost_worker> others_than(const task& target,
-                                                        const std::set<task*>& assigned)
-{
-    std::vector<decisions::task_on_lost_worker> others;
-    for (const auto* const other : assigned) {
-        if (other != &target && other->start_sent) {
-            others.push_back(
-                {other->start_sent_at.time_since_epoch(), other->owner == target.owner});
+// The tasks with the newest starts of two jobs. The newest one of another job is all that the
+// judgement of a task needs of the others, of which there may be thousands.
+struct newest_starts {
+    const task* first = nullptr;
+    const task* of_another_job = nullptr;
+
+    void add(const task& candidate)
+    {
+        const auto is_newer = [&](const task* known) {
+            return known == nullptr || candidate.start_sent_at > known->start_sent_at;
+        };
+        if (first != nullptr && candidate.owner == first->owner) {
+            first = is_newer(first) ? &candidate : first;
+        }
+        else if (is_newer(first)) {
+            of_another_job = std::exchange(first, &candidate);
+        }
+        else if (is_newer(of_another_job)) {
+            of_another_job = &candidate;
         }
     }
-    return others;
-}
+
+    std::vector<decisions::task_on_lost_worker> of_jobs_other_than(const task& target) const
+    {
+        const auto* const newest =
+            first != nullptr && first->owner != target.owner ? first : of_another_job;
+        if (newest == nullptr) {
+            return {};
+        }
+        return {{newest->start_sent_at.time_since_epoch(), false}};
+    }
+};
 
 bool is_unconfirmed(const crash_observation& observation, const std::string& worker)
 {
@@ -137,12 +157,18 @@
 void crash_ledger::observe_loss(const worker_identity& worker, const std::set<task*>& assigned,
                                 const decisions::worker_loss& loss, bool only_just_started)
 {
+    newest_starts newest;
+    for (const auto* const target : assigned) {
+        if (target->start_sent) {
+            newest.add(*target);
+        }
+    }
     for (auto* const target : assigned) {
         if (!target->start_sent) {
             continue;
         }
         const auto link = decisions::link_to_crash(target->start_sent_at.time_since_epoch(), loss,
-                                                   others_than(*target, assigned));
+                                                   newest.of_jobs_other_than(*target));
         const auto known =
             std::find_if(target->crashes.begin(), target->crashes.end(),
                          [&](const auto& observation) { return describes(observation, worker); });
@@ -252,27 +278,44 @@
 
 void crash_ledger::run_ended(task& target, const std::string& worker)
 {
-    if (unconfirmed_.count(worker) == 0) {
-        return;
-    }
-    settle(worker, false,
-           [&](const task& other, const crash_observation&) { return &other == &target; });
+    settle_one(target, worker, false, [](const task&, const crash_observation&) { return true; });
 }
 
 void crash_ledger::run_reported(task& target, const worker_incarnation& life)
 {
-    if (unconfirmed_.count(life.worker) == 0) {
-        return;
-    }
-    settle(life.worker, false, [&](const task& other, const crash_observation& observation) {
-        return &other == &target && observation.worker_started_at_ms < life.started_at_ms;
+    settle_one(target, life.worker, false, [&](const task&, const crash_observation& observation) {
+        return observation.worker_started_at_ms < life.started_at_ms;
     });
 }
 
 void crash_ledger::run_lost(task& target, const std::string& worker)
 {
-    settle(worker, true,
-           [&](const task& other, const crash_observation&) { return &other == &target; });
+    settle_one(target, worker, true, [](const task&, const crash_observation&) { return true; });
+}
+
+void crash_ledger::settle_one(task& target, const std::string& worker, bool crashed,
+                              const selector& concerns)
+{
+    const auto found = unconfirmed_.find(worker);
+    if (found == unconfirmed_.end() || !settle_task(target, worker, crashed, concerns)) {
+        return;
+    }
+    if (!has_unconfirmed(target, worker)) {
+        found->second.erase(target.name().to_string());
+        if (found->second.empty()) {
+            unconfirmed_.erase(found);
+        }
+    }
+    announce_settled(target, worker, crashed);
+}
+
+void crash_ledger::announce_settled(task& target, const std::string& worker, bool crashed)
+{
+    log_event(log_level::info, "task.worker_loss_settled",
+              {{"task", target.name().to_string()},
+               {"worker", worker},
+               {"crashed", crashed ? "true" : "false"}});
+    changed_(target);
 }
 
 void crash_ledger::settle(const std::string& worker, bool crashed, const selector& concerns)
@@ -295,11 +338,7 @@
         unconfirmed_.erase(found);
     }
     for (auto* const target : settled) {
-        log_event(log_level::info, "task.worker_loss_settled",
-                  {{"task", target->name().to_string()},
-                   {"worker", worker},
-                   {"crashed", crashed ? "true" : "false"}});
-        changed_(*target);
+        announce_settled(*target, worker, crashed);
     }
 }
 
--- a/src/jobs/crash_ledger.h
+++ b/src/jobs/crash_ledger.h
@@ -73,7 +73,11 @@
     using selector = std::function<bool(const task&, const decisions::crash_observation&)>;
     // Confirms or drops the unconfirmed observations of the worker that `concerns` selects.
     void settle(const std::string& worker, bool crashed, const selector& concerns);
-    // The same for all workers but `excluded`.
+    // The same for one task.
+    void settle_one(task& target, const std::string& worker, bool crashed,
+                    const selector& concerns);
+    void announce_settled(task& target, const std::string& worker, bool crashed);
+    // The same as settle() for all workers but `excluded`.
     void settle_others(const std::string& excluded, bool crashed, const selector& concerns);
     task* find(const std::string& name);
 
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -279,7 +279,11 @@
 // The members of a gang need each other: once one has ended, the others cannot make progress.
 void engine::stop_other_gang_members(task& member)
 {
-    for (auto& other : member.owning_step->tasks) {
+    auto& gang = *member.owning_step;
+    if (std::exchange(gang.gang_stopped, true)) {
+        return; // called for each member that ends
+    }
+    for (auto& other : gang.tasks) {
         if (&other != &member) {
             runner_->stop(other, "another member of its gang has ended");
         }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -98,6 +98,8 @@
     std::vector<task> tasks;
     int done = 0;                  // number of tasks that are done
     std::int64_t done_version = 0; // version of the job's record that includes the last task's end
+    // The tasks are a gang and no member has been started since all were told to stop.
+    bool gang_stopped = false;
 
     bool complete() const { return done == static_cast<int>(tasks.size()); }
 };
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -353,6 +353,7 @@
         crashes_.begin_start(target, identity_of(handle), decisions::crash_link::shared);
     }
     target.maybe_crashed_unseen = false;
+    target.owning_step->gang_stopped = false;
     handle.assigned.insert(&target);
     log_event(log_level::info, "task.start",
               {{"task", target.name().to_string()},
--- a/src/jobs/task_runner_reports.cpp
+++ b/src/jobs/task_runner_reports.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/log.h"
@@ -380,13 +382,16 @@
 void task_runner::forget_ended_strays(worker_handle& handle, const hold_report& report,
                                       net::boot_time requested_at)
 {
+    if (handle.strays.empty()) {
+        return;
+    }
+    std::set<std::pair<std::string_view, std::int64_t>> running_runs;
+    for (const auto& reported : report.running) {
+        running_runs.emplace(reported.name, reported.run);
+    }
     for (auto next = handle.strays.begin(); next != handle.strays.end();) {
         const auto& [name, stray] = *next;
-        const bool running =
-            std::any_of(report.running.begin(), report.running.end(),
-                        [&name = name, &stray = stray](const running_task& reported) {
-                            return reported.name == name && reported.run == stray.run;
-                        });
+        const bool running = running_runs.count({name, stray.run}) != 0;
         const bool ended = !running && stray.stop_confirmed_at != order_unconfirmed &&
                            stray.stop_confirmed_at < requested_at;
         next = ended ? handle.strays.erase(next) : std::next(next);
@@ -423,6 +428,7 @@
         // takes its time, and the run is reported as running meanwhile.
         target->may_be_stopping_until = now + settings_.stop_time + stop_report_margin;
         handle.assigned.insert(target);
+        target->owning_step->gang_stopped = false;
         log_event(log_level::info, "task.adopted",
                   {{"task", reported.name},
                    {"run", std::to_string(reported.run)},
