Answer each request before a stopping node ends

Cause, by reading and by test: a stopping node kept open connections alive and took requests on them until 700 ms before SIGKILL, then ended with those that still waited for a leader or for its answer.

Evidence: on node_fleet.stopping_nodes_answer_each_request_before_they_end fails in 3 of 3 runs, now it passes 3 of 3.

--- a/src/jobs/request_router.cpp
+++ b/src/jobs/request_router.cpp
@@ -47,8 +47,10 @@
     net::responder respond;
     net::boot_time received{};
     net::boot_time deadline{};
+    bool in_progress = false; // the leader, or this process as the leader, has been asked
     bool maybe_carried_out = false;
     bool finished = false;
+    std::list<pending_ptr>::iterator position; // in `open_`
 };
 
 request_router::request_router(net::event_loop& loop, leadership& election, job_metrics& metrics,
@@ -76,6 +78,10 @@
     auto pending = std::make_shared<pending_request>();
     pending->received = loop_.now();
     pending->deadline = pending->received + hooks_.deadline(request) - answer_margin;
+    if (answer_by_) {
+        pending->deadline = std::min(pending->deadline, *answer_by_);
+    }
+    pending->position = open_.insert(open_.end(), pending);
     pending->request = std::move(request);
     pending->respond = std::move(respond);
     attempt(pending);
@@ -99,11 +105,36 @@
     }
 }
 
+void request_router::begin_shutdown(net::boot_time answer_by)
+{
+    answer_by_ = answer_by;
+    for (const auto& pending : open_) {
+        pending->deadline = std::min(pending->deadline, answer_by);
+    }
+    const auto left = answer_by - loop_.now();
+    loop_.call_after(std::max<std::chrono::nanoseconds>(left, 0ns), [this, alive = alive_] {
+        if (*alive) {
+            give_up_open_requests();
+        }
+    });
+}
+
+// Those that the leader has not answered may have been carried out.
+void request_router::give_up_open_requests()
+{
+    const auto open = open_; // give_up() removes them
+    for (const auto& pending : open) {
+        pending->maybe_carried_out = pending->maybe_carried_out || pending->in_progress;
+        give_up(pending);
+    }
+}
+
 void request_router::attempt(const pending_ptr& pending)
 {
     if (pending->finished) {
         return;
     }
+    pending->in_progress = false;
     const auto now = loop_.now();
     const auto max_wait = pending->request.method == "POST" ? milliseconds(max_wait_of_submission)
                                                             : milliseconds(max_wait_for_leader);
@@ -120,6 +151,7 @@
         forward(pending, *leader);
         return;
     }
+    pending->in_progress = true;
     const bool handled_locally = hooks_.answer_locally(
         pending->request, [this, pending, alive = alive_](const http::response& answer) {
             if (*alive) {
@@ -127,6 +159,7 @@
             }
         });
     if (!handled_locally) {
+        pending->in_progress = false;
         retry(pending);
     }
 }
@@ -150,6 +183,7 @@
 {
     const auto left = std::chrono::duration_cast<milliseconds>(pending->deadline - loop_.now());
     const auto timeout = std::max(milliseconds(1), std::min<milliseconds>(left, forward_timeout));
+    pending->in_progress = true;
     client(leader.address)
         .exchange(pending->request, timeout,
                   [this, pending, alive = alive_](const net::exchange_result& result) {
@@ -166,6 +200,10 @@
                           log_event(log_level::warning, "leader.unanswered",
                                     {{"reason", result.error.message}});
                       }
+                      if (pending->finished) {
+                          return;
+                      }
+                      pending->in_progress = false;
                       pending->maybe_carried_out =
                           pending->maybe_carried_out || !result.error.not_sent();
                       election_.refresh();
@@ -178,6 +216,7 @@
     if (pending->finished) {
         return;
     }
+    pending->in_progress = false;
     if (http::find_header(answer.headers, not_leader_header)) {
         election_.refresh();
         retry(pending);
@@ -223,6 +262,7 @@
 void request_router::finish(const pending_ptr& pending, http::response answer)
 {
     pending->finished = true;
+    open_.erase(pending->position);
     metrics_.record_request(pending->request.method, answer.status,
                             loop_.now() - pending->received);
     pending->respond(std::move(answer));
--- a/src/jobs/request_router.h
+++ b/src/jobs/request_router.h
@@ -52,6 +52,9 @@
     void answer_forwarded(const http::request& request, const net::responder& respond);
     // Retries the requests that wait for a leader.
     void leader_changed();
+    // This process ends soon after `answer_by`: each request is answered by then, also those that
+    // arrive from now on, and those that arrive later are refused at once.
+    void begin_shutdown(net::boot_time answer_by);
 
     // False after requests have failed to reach the leader for some time.
     bool reaches_leader() const;
@@ -69,6 +72,7 @@
     void on_answer(const pending_ptr& pending, const http::response& answer);
     void retry(const pending_ptr& pending);
     void give_up(const pending_ptr& pending);
+    void give_up_open_requests();
     void finish(const pending_ptr& pending, http::response answer);
     net::async_client& client(const endpoint& address);
 
@@ -77,7 +81,9 @@
     job_metrics& metrics_;
     std::string node_;
     hooks hooks_;
-    std::list<pending_ptr> waiting_; // for the next attempt
+    std::list<pending_ptr> open_;             // not answered yet
+    std::list<pending_ptr> waiting_;          // of these, for the next attempt
+    std::optional<net::boot_time> answer_by_; // see begin_shutdown()
     std::unique_ptr<net::async_client> client_;
     net::boot_time failing_since_{}; // default value: the last attempt succeeded
     // When requests that change something began to be refused; nothing if the last one succeeded.
--- a/src/jobs/request_router_test.cpp
+++ b/src/jobs/request_router_test.cpp
@@ -1,3 +1,4 @@
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -130,5 +131,40 @@
     EXPECT_EQ(status_for("GET"), not_found);
 }
 
+// Guards against requests that end without an answer because the process does: those that wait for
+// a leader, those that the leader has not answered, and those that arrive at the last moment.
+TEST_F(request_router_test, each_request_is_answered_before_the_process_ends)
+{
+    std::vector<net::responder> unanswered; // by the leader
+    net::async_server silent_leader(loop, {"127.0.0.1", 0}, {},
+                                    [&](const http::request&, const net::responder& respond) {
+                                        unanswered.push_back(respond);
+                                    });
+    const leader_record record{"b", {"127.0.0.1", silent_leader.port()}, 1, 1};
+    store.put(leadership::leader_key, encode_leader(record));
+    election.start();
+    std::map<std::string, int> statuses;
+    const auto route = [&](const std::string& name, const std::string& method) {
+        http::request request;
+        request.method = method;
+        request.target = "/plans/00000000000000a1";
+        router.route(request, [&statuses, name](const http::response& answer) {
+            statuses[name] = answer.status;
+        });
+    };
+    loop.call_after(100ms, [&] { route("submission at the leader", "POST"); });
+    loop.call_after(100ms, [&] { route("query at the leader", "GET"); });
+    loop.call_after(200ms, [&] { router.begin_shutdown(loop.now() + 200ms); });
+    loop.call_after(300ms, [&] { route("query while stopping", "GET"); });
+    loop.call_after(500ms, [&] { route("submission after the last answers", "POST"); });
+    loop.call_after(600ms, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(unanswered.size(), 3U);
+    EXPECT_EQ(statuses["submission at the leader"], outcome_unknown);
+    EXPECT_EQ(statuses["query at the leader"], outcome_unknown);
+    EXPECT_EQ(statuses["query while stopping"], outcome_unknown);
+    EXPECT_EQ(statuses["submission after the last answers"], unavailable);
+}
+
 } // namespace
 } // namespace jl::jobs
--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -86,6 +86,23 @@
     }
 }
 
+// Guards against a client that keeps its connection to a process that ends soon: its next request
+// would be cut off.
+TEST_F(async_http, response_of_a_closing_server_ends_its_connection)
+{
+    start_server([&](const http::request& request, const responder& respond) {
+        EXPECT_TRUE(server->busy());
+        respond(http::json_response(200, request.target));
+    });
+    server->close_after_responses();
+    send("/only");
+    run_until_results(1);
+    ASSERT_TRUE(results.at(0).answer);
+    EXPECT_EQ(results[0].answer->status, 200);
+    EXPECT_EQ(http::find_header(results[0].answer->headers, "Connection"), "close");
+    EXPECT_FALSE(client->has_idle_connection());
+}
+
 // Guards against a use after free: the timeout of an exchange closed its connection through a
 // reference into the list of connections, and closing removed that list element. The process
 // crashed when the store was slow.
--- a/src/net/async_server.cpp
+++ b/src/net/async_server.cpp
@@ -1,5 +1,6 @@
 #include "net/async_server.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <exception>
@@ -87,9 +88,11 @@
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
 
+    void close_after_responses() { closes_after_responses_ = true; }
+
     void begin_shutdown()
     {
-        shutting_down_ = true;
+        closes_after_responses_ = true;
         std::vector<std::shared_ptr<connection>> idle;
         for (const auto& [descriptor, conn] : connections_) {
             if (!conn->busy && conn->input.empty() && conn->output.empty()) {
@@ -102,6 +105,15 @@
     }
 
     std::size_t open_requests() const { return open_requests_; }
+
+    bool busy() const
+    {
+        return open_requests_ > 0 ||
+               std::any_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+                   return !entry.second->output.empty() || entry.second->next_request_scheduled;
+               });
+    }
+
     std::uint16_t port() const { return listener_.address().port(); }
 
 private:
@@ -371,7 +383,8 @@
             }
             locked_conn->busy = false;
             locked_conn->bytes_being_handled = 0;
-            locked_conn->close_after_write = close_requested || shutting_down_;
+            const bool last_response = closes_after_responses_ && locked_conn->input.empty();
+            locked_conn->close_after_write = close_requested || last_response;
             send(locked_conn, response);
         };
     }
@@ -494,7 +507,7 @@
     // See async_server_limits::max_buffered_bytes.
     std::size_t buffered_bytes_ = 0;
     std::size_t bytes_being_handled_ = 0;
-    bool shutting_down_ = false;
+    bool closes_after_responses_ = false;
 };
 
 async_server::async_server(event_loop& loop, const endpoint& address, async_server_limits limits,
@@ -505,6 +518,16 @@
 
 async_server::~async_server() = default;
 
+void async_server::close_after_responses()
+{
+    implementation_->close_after_responses();
+}
+
+bool async_server::busy() const
+{
+    return implementation_->busy();
+}
+
 void async_server::begin_shutdown()
 {
     implementation_->begin_shutdown();
--- a/src/net/async_server.h
+++ b/src/net/async_server.h
@@ -50,10 +50,15 @@
     async_server(const async_server&) = delete;
     async_server& operator=(const async_server&) = delete;
 
-    // Closes idle connections now and every other connection after its next response.
+    // From now on each connection is closed after its next response, which says so, unless the
+    // client has sent a further request by then.
+    void close_after_responses();
+    // The same, and closes idle connections now.
     void begin_shutdown();
     // Number of requests that were received completely and are not answered yet.
     std::size_t open_requests() const;
+    // True while a request is open, or a response has not been sent completely.
+    bool busy() const;
     // The bound port; the one that the kernel chose if the address has port 0.
     std::uint16_t port() const;
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,11 +1,16 @@
 // jl-node as real processes against a stand-in of the users' platform.
 
+#include <array>
+#include <atomic>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -52,16 +57,20 @@
         }
     }
 
-    void start_node(int number)
+    void start_node(int number, std::optional<int> grace_s = std::nullopt)
     {
         auto& addresses = node_addresses[number];
         if (addresses.empty()) {
             addresses = {free_endpoint(), free_endpoint(), free_endpoint()};
         }
         const auto path = directory / ("node-" + std::to_string(number) + ".json");
-        std::ofstream(path) << node_settings(
-            "node-" + std::to_string(number),
-            {addresses[0], addresses[1], addresses[2], platform_address});
+        auto settings = json::parse(
+            node_settings("node-" + std::to_string(number),
+                          {addresses[0], addresses[1], addresses[2], platform_address}));
+        if (grace_s) {
+            settings["bounds"]["graceS"] = *grace_s;
+        }
+        std::ofstream(path) << settings.dump();
         processes[number] = std::make_unique<child_process>(
             std::string(JL_BIN_DIR) + "/jl-node",
             std::vector<std::string>{"--settings", path.string()},
@@ -238,6 +247,42 @@
     EXPECT_TRUE(eventually([&] { return state(other, "00000000000000d1") == "completed"; }));
 }
 
+// Guards against a request that a stopping node takes on an open connection and that ends with the
+// process, without an answer, because no leader is left to be asked.
+TEST_F(node_fleet, stopping_nodes_answer_each_request_before_they_end)
+{
+    for (int number = 0; number < nodes; ++number) {
+        processes[number]->terminate();
+        start_node(number, 2);
+    }
+    ASSERT_TRUE(eventually([&] { return ready(0) && ready(1) && ready(2); }));
+    std::atomic<int> answered = 0;
+    std::array<std::optional<http::response>, nodes> last_answers;
+    std::vector<std::thread> callers;
+    for (int number = 0; number < nodes; ++number) {
+        callers.emplace_back([&, number] {
+            http::client client(node_addresses.at(number)[0], {});
+            auto& answer = last_answers.at(static_cast<std::size_t>(number));
+            do {
+                answer = client.exchange(make_request("GET", "/plans/", ""),
+                                         std::chrono::steady_clock::now() + 4s);
+                ++answered;
+            } while (answer && http::find_header(answer->headers, "Connection") != "close");
+        });
+    }
+    EXPECT_TRUE(eventually([&] { return answered > nodes; }));
+    for (int number = 0; number < nodes; ++number) {
+        EXPECT_EQ(::kill(processes[number]->pid(), SIGTERM), 0);
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    for (int number = 0; number < nodes; ++number) {
+        EXPECT_TRUE(last_answers.at(static_cast<std::size_t>(number))) << number;
+        EXPECT_EQ(processes[number]->wait_for_exit(), 0) << number;
+    }
+}
+
 // Guards against an entry of another writer, or a submission, that ends each process that reads it,
 // or stops the leader from following the list of workers.
 TEST_F(node_fleet, odd_entries_and_submissions_change_nothing)
