Refuse messages that state their length twice

Cause: the node took the first Content-Length, kept the last one among the headers and appended a third one when it sent the request on, so that the leader took the body for a second request, whose answer came on a shared connection.

Why this works: such a message is malformed, as is one with any Transfer-Encoding; what is sent on states one length.

--- a/src/net/async_http_test.cpp
+++ b/src/net/async_http_test.cpp
@@ -522,6 +522,42 @@
     EXPECT_TRUE(buffer.empty());
 }
 
+// Guards against a request hidden in the body of another one: the node took the first length, the
+// leader that it was sent on to the second, and answers went to the wrong callers.
+TEST(http_framing, rejects_messages_that_state_two_lengths)
+{
+    for (const std::string lengths :
+         {"Content-Length: 4\r\nContent-Length: 0\r\n",
+          "content-length: 0\r\nContent-Length: 4\r\n",
+          "Content-Length: 4\r\nHost: a\r\nContent-Length: 4\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: gzip, chunked\r\n"}) {
+        message_buffer request(1024, 1024);
+        const std::string bytes = "POST / HTTP/1.1\r\n" + lengths + "\r\nbody";
+        request.append(bytes.data(), bytes.size());
+        EXPECT_FALSE(request.take_request()) << lengths;
+        EXPECT_NE(request.error(), framing_error::none) << lengths;
+    }
+    message_buffer response(1024, 1024);
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 0\r\n\r\nbody";
+    response.append(bytes.data(), bytes.size());
+    EXPECT_FALSE(response.take_response());
+    EXPECT_EQ(response.error(), framing_error::malformed);
+}
+
+// Guards against a forwarded request that states its length twice.
+TEST(http_framing, message_that_is_sent_on_states_its_length_once)
+{
+    message_buffer buffer(1024, 1024);
+    const std::string bytes = "POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nbody";
+    buffer.append(bytes.data(), bytes.size());
+    const auto request = buffer.take_request();
+    ASSERT_TRUE(request);
+    const auto sent = serialize(*request);
+    EXPECT_EQ(sent.find("content-length"), std::string::npos);
+    EXPECT_NE(sent.find("Content-Length: 4\r\n"), std::string::npos);
+}
+
 TEST(http_framing, rejects_oversized_and_chunked_messages)
 {
     const auto error_of = [](const std::string& bytes) {
--- a/src/net/http_framing.cpp
+++ b/src/net/http_framing.cpp
@@ -1,6 +1,8 @@
 #include "net/http_framing.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <sstream>
 
 #include <Poco/Exception.h>
@@ -16,6 +18,21 @@
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 
+constexpr const char* content_length = "Content-Length";
+
+// Two lengths would let a part of the body pass for a further message, here or at the process that
+// the message is sent on to.
+bool states_one_length_at_most(const Poco::Net::MessageHeader& message)
+{
+    const auto first = message.find(content_length);
+    if (first == message.end()) {
+        return true;
+    }
+    return std::none_of(std::next(first), message.end(), [](const auto& field) {
+        return Poco::icompare(field.first, std::string(content_length)) == 0;
+    });
+}
+
 http::header_map copy_headers(const Poco::Net::MessageHeader& message)
 {
     http::header_map headers;
@@ -28,12 +45,15 @@
 void append_headers(std::string& out, const http::header_map& headers, std::size_t body_size)
 {
     for (const auto& [name, value] : headers) {
+        if (Poco::icompare(name, std::string(content_length)) == 0) {
+            continue;
+        }
         out += name;
         out += ": ";
         out += value;
         out += "\r\n";
     }
-    out += "Content-Length: " + std::to_string(body_size) + "\r\n";
+    out += std::string(content_length) + ": " + std::to_string(body_size) + "\r\n";
 }
 
 } // namespace
@@ -87,10 +107,14 @@
         Poco::Net::HTTPRequest parsed;
         std::istringstream input(bytes_.substr(0, *head_bytes));
         parsed.read(input);
-        if (parsed.getChunkedTransferEncoding()) {
+        if (parsed.has("Transfer-Encoding")) {
             error_ = framing_error::length_required;
             return std::nullopt;
         }
+        if (!states_one_length_at_most(parsed)) {
+            error_ = framing_error::malformed;
+            return std::nullopt;
+        }
         const auto length = parsed.hasContentLength() ? parsed.getContentLength64() : 0;
         auto body = take_body(*head_bytes, static_cast<std::size_t>(length));
         if (!body) {
@@ -135,6 +159,10 @@
             error_ = framing_error::length_required;
             return std::nullopt;
         }
+        if (!states_one_length_at_most(parsed)) {
+            error_ = framing_error::malformed;
+            return std::nullopt;
+        }
         const auto length = bodyless ? 0 : parsed.getContentLength64();
         auto body = take_body(*head_bytes, static_cast<std::size_t>(length));
         if (!body) {
