--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/job_metrics.cpp
@@ -2,6 +2,21 @@
 
 namespace jl::jobs {
 
+namespace {
+
+// A time series is kept for each value of a label, so methods that callers make up share one.
+std::string method_label(const std::string& method)
+{
+    for (const auto* const known : {"GET", "POST", "DELETE"}) {
+        if (method == known) {
+            return method;
+        }
+    }
+    return "other";
+}
+
+} // namespace
+
 const char* to_string(job_state state)
 {
     switch (state) {
@@ -131,10 +146,11 @@
 void job_metrics::record_request(const std::string& method, int status,
                                  std::chrono::nanoseconds duration)
 {
+    const auto label = method_label(method);
     metrics_.count("jl_requests_total", "Requests of callers by method and status",
-                   {{"method", method}, {"status", std::to_string(status)}});
+                   {{"method", label}, {"status", std::to_string(status)}});
     metrics_.observe("jl_request_seconds", "Time to answer a request of a caller",
-                     {{"method", method}}, duration);
+                     {{"method", label}}, duration);
 }
 
 void job_metrics::set_leadership(bool is_leader, std::int64_t term)
