--- a/src/jobs/record_loader_test.cpp
+++ b/src/jobs/record_loader_test.cpp
@@ -52,6 +52,7 @@
     virtual_timers timers;
     std::vector<std::string> loaded;
     std::vector<store_item> items;
+    items.reserve(100);
     for (int number = 0; number < 100; ++number) {
         items.push_back({std::to_string(number), std::string(500, 'x'), 1, 0});
     }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -259,6 +259,7 @@
     std::atomic<int> answered = 0;
     std::array<std::optional<http::response>, nodes> last_answers;
     std::vector<std::thread> callers;
+    callers.reserve(nodes);
     for (int number = 0; number < nodes; ++number) {
         callers.emplace_back([&, number] {
             http::client client(node_addresses.at(number)[0], {});
