--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -172,7 +172,7 @@
         handle.roster_entry_durable = false;
     }
     workers_with_longest_lease_.insert(handle.info().id);
-    handle.session->raise_token(writer_->newest_revision());
+    runner_->raise_token(handle, writer_->newest_revision());
 }
 
 void engine::record_ended_leases()
@@ -297,7 +297,7 @@
     for (const auto& worker : roster_.on_durable(key, version)) {
         if (auto* const handle = runner_->find_worker(worker)) {
             handle->roster_entry_durable = true;
-            handle->session->raise_token(writer_->newest_revision());
+            runner_->raise_token(*handle, writer_->newest_revision());
         }
     }
     schedule_tick();
--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -450,6 +450,31 @@
     expect_no_violation();
 }
 
+// Guards against a leader that is deposed by a worker that it has forgotten and meets again: the
+// worker has seen a higher token of this leader than a new session would begin with.
+TEST_F(unseen_restarts, worker_that_is_listed_again_has_seen_no_later_leader)
+{
+    start_leader();
+    fleet.workers.late_order_delay = 9s;
+    fleet.workers.refuse_starts("w1", order_status::no_room);
+    fleet.workers.set_mode("w0", worker_mode::late_orders);
+    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+    fleet.timers.run_for(100ms);
+    restart("w0", true);
+    fleet.timers.run_for(50ms);
+    fleet.workers.set_mode("w0", worker_mode::answering);
+    fleet.workers.refuse_starts("w0", order_status::no_room);
+    fleet.workers.refuse_starts("w1", order_status::accepted);
+    fleet.timers.run_for(2500ms);
+    const auto term = fleet.nodes.at("a")->election().leader()->term;
+    fleet.unlist_worker("w0");
+    fleet.timers.run_for(60s); // the leader forgets it
+    fleet.list_worker(fleet.workers.registration("w0"));
+    fleet.timers.run_for(3s);
+    ASSERT_TRUE(fleet.nodes.at("a")->election().leader());
+    EXPECT_EQ(fleet.nodes.at("a")->election().leader()->term, term);
+}
+
 // Guards against a next leader that counts too short a lease because its predecessor, which knew of
 // the restart, could not record it.
 TEST_F(unseen_restarts, next_leader_counts_the_longest_lease_though_the_roster_was_not_written)
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -46,7 +46,8 @@
       settings_(std::move(settings)),
       created_at_(timers.now()),
       crashes_(timers, jobs, [this](task& suspect) { listener_.on_crash_evidence(suspect); }),
-      orders_(timers, [this] { listener_.on_workers_changed(); })
+      orders_(timers, [this] { listener_.on_workers_changed(); }),
+      highest_token_(settings_.token)
 {
 }
 
@@ -154,7 +155,7 @@
     handle.registered = !loaded_from_roster;
     handle.session = std::make_unique<worker_session>(
         timers_, static_cast<session_listener&>(*this), connector_.connect(info.address, info.id),
-        info, settings_.token, session_settings);
+        info, highest_token_, session_settings);
     handle.indexed_vm = info.vm;
     workers_by_vm_[info.vm].push_back(info.id);
 }
@@ -370,6 +371,12 @@
     crashes_.begin_start(target, identity_of(handle), decisions::crash_link::sole);
 }
 
+void task_runner::raise_token(worker_handle& handle, std::int64_t token)
+{
+    handle.session->raise_token(token);
+    highest_token_ = std::max(highest_token_, handle.session->token());
+}
+
 void task_runner::send_recorded_starts(job& recorded)
 {
     for_each_task(recorded, [this](const task& target) {
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -137,6 +137,9 @@
     // An isolated start is sent once it is recorded, as is that of a task with
     // task::maybe_crashed_unseen.
     void start(task& target, worker_handle& handle, start_options options);
+    // See worker_session::raise_token(). Later sessions begin with the highest token that any has,
+    // as the worker may have seen it.
+    void raise_token(worker_handle& handle, std::int64_t token);
     // Sends the starts that have waited for the job's record.
     void send_recorded_starts(job& recorded);
     void stop(task& target, const char* reason);
@@ -282,6 +285,7 @@
     // incarnation with the same id.
     std::map<std::string, open_starts> open_starts_;
     order_pacer orders_;
+    std::int64_t highest_token_; // of all sessions
     std::set<std::string> workers_with_unacknowledged_ends_;
     std::set<std::string> services_with_unseen_losses_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
