Keep open orders for the next session with a worker

They now outlive the session, as open starts do, and count in the new one until its worker has answered a higher token.

worker_session_test.open_orders_of_an_earlier_session_count covers it; the interface that it uses did not exist before.

--- a/src/jobs/engine_records.cpp
+++ b/src/jobs/engine_records.cpp
@@ -161,6 +161,9 @@
 bool engine::record_worker(const worker_handle& handle)
 {
     const auto& info = handle.info();
+    if (handle.session->may_have_longest_lease()) {
+        workers_with_longest_lease_.insert(info.id);
+    }
     return roster_.set({info.id, info.service, info.address, info.vm,
                         handle.session->started_at_ms(), handle.session->may_have_longest_lease(),
                         handle.session->earlier_orders_open()});
@@ -171,7 +174,6 @@
     if (record_worker(handle)) {
         handle.roster_entry_durable = false;
     }
-    workers_with_longest_lease_.insert(handle.info().id);
     runner_->raise_token(handle, writer_->newest_revision());
 }
 
--- a/src/jobs/task_runner.cpp
+++ b/src/jobs/task_runner.cpp
@@ -155,7 +155,8 @@
     handle.registered = !loaded_from_roster;
     handle.session = std::make_unique<worker_session>(
         timers_, static_cast<session_listener&>(*this), connector_.connect(info.address, info.id),
-        info, highest_token_, session_settings);
+        info, highest_token_, session_settings, std::move(open_lease_orders_[info.id]));
+    open_lease_orders_.erase(info.id);
     handle.indexed_vm = info.vm;
     workers_by_vm_[info.vm].push_back(info.id);
 }
@@ -164,6 +165,10 @@
 task_runner::erase_worker(std::map<std::string, worker_handle>::iterator handle)
 {
     remove_from_vm_index(handle->second);
+    const auto& open_orders = handle->second.session->open_orders();
+    if (open_orders.open_until(timers_.now())) {
+        open_lease_orders_[handle->first] = open_orders;
+    }
     return worker_handles_.erase(handle);
 }
 
@@ -250,7 +255,7 @@
 
 std::vector<std::string> task_runner::forget_unregistered()
 {
-    expire_open_starts();
+    expire_open_orders();
     release_tasks_kept_after_lease();
     std::vector<std::string> forgotten;
     const auto now = timers_.now();
@@ -740,12 +745,16 @@
     return timers_.now() - late_execution_limit - longest_lease(settings_.session.max_lease);
 }
 
-void task_runner::expire_open_starts()
+void task_runner::expire_open_orders()
 {
     for (auto next = open_starts_.begin(); next != open_starts_.end();) {
         next->second.expire(oldest_open_start());
         next = next->second.empty() ? open_starts_.erase(next) : std::next(next);
     }
+    for (auto next = open_lease_orders_.begin(); next != open_lease_orders_.end();) {
+        const bool open = next->second.open_until(timers_.now()).has_value();
+        next = open ? std::next(next) : open_lease_orders_.erase(next);
+    }
 }
 
 // A pace order without an answer may take effect after newer ones, so the present pace is repeated
--- a/src/jobs/task_runner.h
+++ b/src/jobs/task_runner.h
@@ -235,7 +235,7 @@
                          order_status status) const;
     // A start without an answer that was sent before this time has no effect any more.
     net::boot_time oldest_open_start() const;
-    void expire_open_starts();
+    void expire_open_orders();
     // True if only the report of its restarted worker tells whether the task runs there.
     bool may_have_started_on_new_incarnation(const task& target) const;
     // True if the task may run on an incarnation of the worker that the leader has not heard of, or
@@ -286,6 +286,8 @@
     std::map<std::string, open_starts> open_starts_;
     order_pacer orders_;
     std::int64_t highest_token_; // of all sessions
+    // Of sessions that have ended, by worker id, for the next session with the worker.
+    std::map<std::string, open_lease_orders> open_lease_orders_;
     std::set<std::string> workers_with_unacknowledged_ends_;
     std::set<std::string> services_with_unseen_losses_;
     // Set to false by the destructor. Pending callbacks check it before they use `this`.
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/worker_session.cpp
@@ -103,7 +103,8 @@
 
 worker_session::worker_session(net::timer_service& timers, session_listener& listener,
                                std::unique_ptr<worker_port> port, worker_registration info,
-                               std::int64_t token, session_settings settings)
+                               std::int64_t token, session_settings settings,
+                               open_lease_orders open_orders)
     : timers_(timers),
       listener_(listener),
       port_(std::move(port)),
@@ -116,8 +117,13 @@
       born_(info_.started_at_ms),
       answered_at_address_(settings_.previous_leader_lease > 0ms),
       lease_bound_(timers.now() + on_local_clock(settings_.previous_leader_lease) + expiry_margin),
-      created_at_(timers.now())
+      created_at_(timers.now()),
+      open_lease_orders_(std::move(open_orders))
 {
+    if (const auto open_until = open_lease_orders_.open_until(timers.now())) {
+        // The worker may be a later incarnation than the one that they were sent to.
+        earlier_orders_ = earlier_orders{*open_until, token_};
+    }
     check_lease_expiry();
     schedule_hold(0ms);
 }
--- a/src/jobs/worker_session.h
+++ b/src/jobs/worker_session.h
@@ -82,9 +82,10 @@
 // run twice. Not thread-safe.
 class worker_session {
 public:
+    // `open_orders`: of this leader, from earlier sessions with the worker.
     worker_session(net::timer_service& timers, session_listener& listener,
                    std::unique_ptr<worker_port> port, worker_registration info, std::int64_t token,
-                   session_settings settings);
+                   session_settings settings, open_lease_orders open_orders = {});
     ~worker_session();
     worker_session(const worker_session&) = delete;
     worker_session& operator=(const worker_session&) = delete;
@@ -162,6 +163,7 @@
     std::int64_t started_at_ms() const { return born_; }
 
     std::int64_t token() const { return token_; }
+    const open_lease_orders& open_orders() const { return open_lease_orders_; }
     bool dead() const { return dead_; }
 
 private:
--- a/src/jobs/worker_session_test.cpp
+++ b/src/jobs/worker_session_test.cpp
@@ -297,6 +297,28 @@
     EXPECT_LT(session->lease_bound(), timers.now() + 11s);
 }
 
+// Guards against open orders that are forgotten with the session that has sent them: the worker
+// may be back under its id as another incarnation, which a new session is with.
+TEST_F(worker_session_test, open_orders_of_an_earlier_session_count)
+{
+    timers.run_for(100ms);
+    received.holds_to_lose = 1;
+    timers.run_for(2s);
+    const auto open = session->open_orders();
+    received.incarnation = 2;
+    info.started_at_ms = 2;
+    session_settings settings;
+    settings.may_act = [] { return true; };
+    session.emplace(timers, listener, std::make_unique<counting_port>(timers, received), info, 7,
+                    settings, open);
+    timers.run_for(100ms);
+    EXPECT_TRUE(session->earlier_orders_open());
+    EXPECT_GT(session->lease_bound(), timers.now() + late_execution_limit);
+    session->raise_token(8);
+    timers.run_for(100ms);
+    EXPECT_FALSE(session->earlier_orders_open());
+}
+
 // Guards against a token that rises although no order is open, and so for each commit.
 TEST_F(worker_session_test, token_is_raised_only_while_orders_to_a_former_incarnation_are_open)
 {
