--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -864,6 +864,36 @@
     expect_no_violation(fleet);
 }
 
+// Guards against a job that waits until another one with many tasks has started all of them: beside
+// jobs whose next tasks are always due, it never began.
+TEST(engine, small_job_starts_while_a_large_one_has_tasks_left_to_start)
+{
+    constexpr int tasks = 9000;
+    const std::string small_task = "00000000000000a2.0.0.0";
+    test_fleet fleet;
+    fleet.workers.default_plan.duration = 60s;
+    fleet.add_node("a");
+    ASSERT_TRUE(fleet.await_leader());
+    auto large = make_job(job_id, 1, tasks);
+    large.steps[0].request = {1, 1, 0};
+    large.steps[0].estimate = 1s;
+    fleet.leader()->submit({large, {}}, [](const submit_answer&) {});
+    const auto large_tasks_running = [&fleet, &small_task] {
+        const int all = fleet.workers.running("w0") + fleet.workers.running("w1") +
+                        fleet.workers.running("w2") + fleet.workers.running("w3");
+        return all - (fleet.workers.is_running(small_task) ? 1 : 0);
+    };
+    while (large_tasks_running() == 0) {
+        fleet.timers.run_for(1ms);
+    }
+    fleet.leader()->submit({make_job("00000000000000a2", 1, 1), {}}, [](const submit_answer&) {});
+    while (!fleet.workers.is_running(small_task) && large_tasks_running() < tasks) {
+        fleet.timers.run_for(1ms);
+    }
+    EXPECT_TRUE(fleet.workers.is_running(small_task));
+    EXPECT_LT(large_tasks_running(), tasks / 2);
+}
+
 // Guards against tasks of a cancelled job that run on, because more had to be stopped than is sent
 // at once.
 TEST(engine, all_tasks_of_a_large_cancelled_job_are_stopped)
