--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -322,15 +322,10 @@
 void job_scheduler::schedule_pool(const fleet_config& config, const std::vector<job*>& jobs,
                                   pool_candidates& pool)
 {
-    auto order = order_pool(config, jobs, pool.now);
+    const auto order = order_pool(config, jobs, pool.now);
     if (pool.candidates.empty()) {
         return;
     }
-    const auto& service = config.find_queue(jobs.front()->spec.queue)->service;
-    const auto skipped = std::exchange(skipped_jobs_[service], {});
-    std::stable_partition(order.begin(), order.end(), [&](std::size_t index) {
-        return skipped.count(jobs[index]->spec.id) != 0;
-    });
     // Before any other start, which could be confused with that of a suspect.
     for (const auto index : order) {
         auto& target = *jobs[index];
@@ -340,10 +335,6 @@
     }
     for (const auto index : order) {
         auto& target = *jobs[index];
-        if (!runner_.accepts_orders()) {
-            skipped_jobs_[service].insert(target.spec.id);
-            continue;
-        }
         start_job(target, *config.find_queue(target.spec.queue), pool);
     }
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -111,9 +110,6 @@
     std::optional<teams::usage_account> usage_;
     std::map<std::string, std::chrono::nanoseconds> backlogs_; // by service
     std::string first_service_;                                // at which the next pass begins
-    // Jobs, by service, that the last pass did not come to. They are the first in the next one, as
-    // others may always have tasks to start.
-    std::map<std::string, std::set<std::string>> skipped_jobs_;
 };
 
 // Returns JOB.OCCURRENCE.STEP, which identifies the task's step towards the advisor.
