--- a/src/jobs/engine_test.cpp
+++ b/src/jobs/engine_test.cpp
@@ -819,6 +819,27 @@
     return recorded.occurrences.size();
 }
 
+// Returns a job with a million occurrences of one small task, which are all due.
+job_spec make_overdue_job(const std::string& id)
+{
+    auto scheduled = make_job(id, 1, 1);
+    scheduled.occurrences = 1000000;
+    scheduled.first_run = 0ms;
+    scheduled.interval = 1ms;
+    scheduled.steps[0].request = {1, 1, 0};
+    return scheduled;
+}
+
+// Number of tasks that run on the workers of a fleet of four.
+int running_tasks(const test_fleet& fleet)
+{
+    int running = 0;
+    for (const auto* const worker : {"w0", "w1", "w2", "w3"}) {
+        running += fleet.workers.running(worker);
+    }
+    return running;
+}
+
 // Guards against a leader that begins each due occurrence of a job with a million repetitions in
 // one tick and encodes all of them with each change. It lost its lease, as did the next ones.
 TEST(engine, job_with_a_million_due_occurrences_has_few_in_progress)
@@ -827,12 +848,7 @@
     fleet.workers.default_plan.duration = 5s;
     fleet.add_node("a");
     ASSERT_TRUE(fleet.await_leader());
-    auto scheduled = make_job(job_id, 1, 1);
-    scheduled.occurrences = 1000000;
-    scheduled.first_run = 0ms;
-    scheduled.interval = 1ms;
-    scheduled.steps[0].request = {1, 1, 0};
-    ASSERT_EQ(fleet.submit(scheduled), submit_outcome::accepted);
+    ASSERT_EQ(fleet.submit(make_overdue_job(job_id)), submit_outcome::accepted);
     fleet.timers.run_for(4s);
     EXPECT_GT(recorded_occurrences(fleet, job_id), 100U);
     EXPECT_LE(recorded_occurrences(fleet, job_id), 500U);
@@ -847,12 +863,7 @@
     fleet.add_node("a");
     ASSERT_TRUE(fleet.await_leader());
     for (const auto* const id : {"00000000000000b1", "00000000000000b2", "00000000000000b3"}) {
-        auto scheduled = make_job(id, 1, 1);
-        scheduled.occurrences = 1000000;
-        scheduled.first_run = 0ms;
-        scheduled.interval = 1ms;
-        scheduled.steps[0].request = {1, 1, 0};
-        ASSERT_EQ(fleet.submit(scheduled), submit_outcome::accepted);
+        ASSERT_EQ(fleet.submit(make_overdue_job(id)), submit_outcome::accepted);
     }
     fleet.timers.run_for(500ms);
     ASSERT_EQ(fleet.submit(make_job(job_id, 1, 2)), submit_outcome::accepted);
@@ -879,9 +890,7 @@
     large.steps[0].estimate = 1s;
     fleet.leader()->submit({large, {}}, [](const submit_answer&) {});
     const auto large_tasks_running = [&fleet, &small_task] {
-        const int all = fleet.workers.running("w0") + fleet.workers.running("w1") +
-                        fleet.workers.running("w2") + fleet.workers.running("w3");
-        return all - (fleet.workers.is_running(small_task) ? 1 : 0);
+        return running_tasks(fleet) - (fleet.workers.is_running(small_task) ? 1 : 0);
     };
     while (large_tasks_running() == 0) {
         fleet.timers.run_for(1ms);
@@ -906,15 +915,11 @@
     auto large = make_job(job_id, 1, tasks);
     large.steps[0].request = {1, 1, 0};
     ASSERT_EQ(fleet.submit(large), submit_outcome::accepted);
-    const auto running = [&fleet] {
-        return fleet.workers.running("w0") + fleet.workers.running("w1") +
-               fleet.workers.running("w2") + fleet.workers.running("w3");
-    };
     fleet.timers.run_for(1s);
-    ASSERT_EQ(running(), tasks);
+    ASSERT_EQ(running_tasks(fleet), tasks);
     ASSERT_EQ(fleet.cancel(job_id), cancel_outcome::cancelled);
     fleet.timers.run_for(1s);
-    EXPECT_EQ(running(), 0);
+    EXPECT_EQ(running_tasks(fleet), 0);
     expect_no_violation(fleet);
 }
 
--- a/src/jobs/record_writer_test.cpp
+++ b/src/jobs/record_writer_test.cpp
@@ -20,8 +20,19 @@
 constexpr const char* record_key = "record";
 constexpr std::int64_t leader_revision = 7;
 
+// The writer calls commit() only.
+class commit_store : public store_port {
+public:
+    void get(const std::string&, callback<store_item>) override {}
+    void list(const std::string&, callback<store_listing>) override {}
+    void watch(const std::string&, std::int64_t, milliseconds, callback<store_listing>) override {}
+    void grant_lease(milliseconds, callback<store_lease>) override {}
+    void renew_lease(std::int64_t, callback<milliseconds>) override {}
+    void end_lease(std::int64_t, std::function<void()>) override {}
+};
+
 // Answers each commit after a while and notes how many bytes it was sent at which time.
-class counting_store final : public store_port {
+class counting_store final : public commit_store {
 public:
     explicit counting_store(virtual_timers& timers) : timers_(timers) {}
 
@@ -38,12 +49,6 @@
             done(result);
         });
     }
-    void get(const std::string&, callback<store_item>) override {}
-    void list(const std::string&, callback<store_listing>) override {}
-    void watch(const std::string&, std::int64_t, milliseconds, callback<store_listing>) override {}
-    void grant_lease(milliseconds, callback<store_lease>) override {}
-    void renew_lease(std::int64_t, callback<milliseconds>) override {}
-    void end_lease(std::int64_t, std::function<void()>) override {}
 
     std::map<net::boot_time, std::size_t> bytes_sent;
 
@@ -53,7 +58,7 @@
 };
 
 // A store with one record. The test decides which commits are answered.
-class lossy_store final : public store_port {
+class lossy_store final : public commit_store {
 public:
     void commit(const store_transaction& transaction, callback<commit_outcome> done) override
     {
@@ -83,12 +88,6 @@
         }
         done(result);
     }
-    void get(const std::string&, callback<store_item>) override {}
-    void list(const std::string&, callback<store_listing>) override {}
-    void watch(const std::string&, std::int64_t, milliseconds, callback<store_listing>) override {}
-    void grant_lease(milliseconds, callback<store_lease>) override {}
-    void renew_lease(std::int64_t, callback<milliseconds>) override {}
-    void end_lease(std::int64_t, std::function<void()>) override {}
 
     int commits = 0;
     int lose_answers = 0;   // of the next commits, which are executed
--- a/src/jobs/restarted_workers_test.cpp
+++ b/src/jobs/restarted_workers_test.cpp
@@ -309,6 +309,21 @@
         }
     }
 
+    // Starts a leader. Worker w0 restarts while a start is open that it will carry out 9 s after it
+    // was sent.
+    void restart_with_an_open_start()
+    {
+        start_leader();
+        fleet.workers.late_order_delay = 9s;
+        fleet.workers.refuse_starts("w1", order_status::no_room);
+        fleet.workers.set_mode("w0", worker_mode::late_orders);
+        ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
+        fleet.timers.run_for(100ms);
+        restart("w0", true);
+        fleet.timers.run_for(50ms);
+        fleet.workers.set_mode("w0", worker_mode::answering);
+    }
+
     bool await_running(const std::string& task, milliseconds limit = 3000ms)
     {
         const auto end = fleet.timers.now() + limit;
@@ -399,15 +414,7 @@
 // Guards against a lease that a late start of a former incarnation's run prolongs for other tasks.
 TEST_F(unseen_restarts, late_start_prolongs_the_lease_of_other_tasks)
 {
-    start_leader();
-    fleet.workers.late_order_delay = 9s;
-    fleet.workers.refuse_starts("w1", order_status::no_room);
-    fleet.workers.set_mode("w0", worker_mode::late_orders);
-    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
-    fleet.timers.run_for(100ms);
-    restart("w0", true);
-    fleet.timers.run_for(50ms);
-    fleet.workers.set_mode("w0", worker_mode::answering);
+    restart_with_an_open_start();
     fleet.timers.run_for(2500ms); // the stop has been confirmed
     fleet.workers.refuse_starts("w1", order_status::no_room);
     ASSERT_EQ(fleet.submit(make_job(other_job, 1, 1)), submit_outcome::accepted);
@@ -454,15 +461,7 @@
 // worker has seen a higher token of this leader than a new session would begin with.
 TEST_F(unseen_restarts, worker_that_is_listed_again_has_seen_no_later_leader)
 {
-    start_leader();
-    fleet.workers.late_order_delay = 9s;
-    fleet.workers.refuse_starts("w1", order_status::no_room);
-    fleet.workers.set_mode("w0", worker_mode::late_orders);
-    ASSERT_EQ(fleet.submit(make_job(job_id, 1, 1)), submit_outcome::accepted);
-    fleet.timers.run_for(100ms);
-    restart("w0", true);
-    fleet.timers.run_for(50ms);
-    fleet.workers.set_mode("w0", worker_mode::answering);
+    restart_with_an_open_start();
     fleet.workers.refuse_starts("w0", order_status::no_room);
     fleet.workers.refuse_starts("w1", order_status::accepted);
     fleet.timers.run_for(2500ms);
